--- a/cmd/barleylift/script_test.go
+++ b/cmd/barleylift/script_test.go
@@ -11,8 +11,8 @@
 
 	"github.com/barleylift/barleylift/internal/catalog"
 	"github.com/barleylift/barleylift/internal/fake"
+	"github.com/barleylift/barleylift/internal/infra"
 	"github.com/barleylift/barleylift/internal/ownership"
-	"github.com/barleylift/barleylift/internal/platform"
 	"github.com/barleylift/barleylift/internal/status"
 	"github.com/rogpeppe/go-internal/testscript"
 )
@@ -57,7 +57,7 @@
 	case "lose-head":
 		n, err := strconv.Atoi(args[1])
 		ts.Check(err)
-		s.kv.LoseReplies(n, func(txn platform.Txn) bool {
+		s.kv.LoseReplies(n, func(txn infra.Txn) bool {
 			return len(txn.Then) > 0 && txn.Then[0].Key == catalog.HeadKey
 		})
 	case "down", "up":
@@ -81,7 +81,7 @@
 	}
 	value, err := json.Marshal(ownership.Member{Name: name, Zone: "z1", EntryAddress: address})
 	ts.Check(err)
-	_, err = s.kv.Txn(context.Background(), platform.Txn{Then: []platform.Op{platform.Put("members/"+name, value)}})
+	_, err = s.kv.Txn(context.Background(), infra.Txn{Then: []infra.Op{infra.Put("members/"+name, value)}})
 	ts.Check(err)
 }
 
--- a/internal/catalog/apply.go
+++ b/internal/catalog/apply.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"github.com/barleylift/barleylift/internal/clock"
-	"github.com/barleylift/barleylift/internal/platform"
+	"github.com/barleylift/barleylift/internal/infra"
 )
 
 const (
@@ -76,7 +76,7 @@
 
 // Applier makes configurations the accepted one.
 type Applier struct {
-	KV platform.KV
+	KV infra.KV
 	// Witness returns the highest generation that daemons have in force, or 0
 	// when there is no daemon. It guards against a key-value service that was
 	// restored from an old state. Nil means no witness.
@@ -88,14 +88,14 @@
 
 // Apply makes contents the accepted configuration without a witness. See
 // Applier.Apply.
-func Apply(ctx context.Context, kv platform.KV, contents Contents, base *uint64) (Accepted, error) {
+func Apply(ctx context.Context, kv infra.KV, contents Contents, base *uint64) (Accepted, error) {
 	return Applier{KV: kv}.Apply(ctx, contents, base)
 }
 
 // Apply uploads the chunks that changed and swaps the head by
 // compare-and-swap. The contents must have passed Check. With a base, the
 // generation in force must be that one. Errors are *ConflictError,
-// *RegressionError, *UnsettledError, *TooLargeError or *platform.Error.
+// *RegressionError, *UnsettledError, *TooLargeError or *infra.Error.
 func (a Applier) Apply(ctx context.Context, contents Contents, base *uint64) (Accepted, error) {
 	chunks, err := split(contents)
 	if err != nil {
@@ -147,7 +147,7 @@
 	fresh, size := before.head.unknown(chunks)
 	accepted := Accepted{Bytes: size}
 	for range maxApplyAttempts {
-		collection, err := retry(ctx, func() (platform.Entry, error) { return a.KV.Get(ctx, CollectionKey) })
+		collection, err := retry(ctx, func() (infra.Entry, error) { return a.KV.Get(ctx, CollectionKey) })
 		if err != nil {
 			return Accepted{}, err
 		}
--- a/internal/catalog/apply_test.go
+++ b/internal/catalog/apply_test.go
@@ -8,7 +8,7 @@
 	"testing/synctest"
 
 	"github.com/barleylift/barleylift/internal/fake"
-	"github.com/barleylift/barleylift/internal/platform"
+	"github.com/barleylift/barleylift/internal/infra"
 )
 
 // sample returns a small valid configuration with the given number of adapters.
@@ -47,7 +47,7 @@
 	return contents
 }
 
-func mustApply(t testing.TB, kv platform.KV, contents Contents) Accepted {
+func mustApply(t testing.TB, kv infra.KV, contents Contents) Accepted {
 	t.Helper()
 	accepted, err := Apply(t.Context(), kv, contents, nil)
 	if err != nil {
@@ -56,7 +56,7 @@
 	return accepted
 }
 
-func touchesHead(txn platform.Txn) bool {
+func touchesHead(txn infra.Txn) bool {
 	return len(txn.Then) > 0 && txn.Then[0].Key == HeadKey
 }
 
@@ -100,11 +100,11 @@
 // interceptor runs a function once, right before the first transaction that
 // writes the head.
 type interceptor struct {
-	platform.KV
+	infra.KV
 	before func()
 }
 
-func (i *interceptor) Txn(ctx context.Context, txn platform.Txn) (platform.TxnResult, error) {
+func (i *interceptor) Txn(ctx context.Context, txn infra.Txn) (infra.TxnResult, error) {
 	if run := i.before; run != nil && touchesHead(txn) {
 		i.before = nil
 		run()
@@ -152,11 +152,11 @@
 
 // afterLoss runs a function once, right after a transaction's reply was lost.
 type afterLoss struct {
-	platform.KV
+	infra.KV
 	then func()
 }
 
-func (a *afterLoss) Txn(ctx context.Context, txn platform.Txn) (platform.TxnResult, error) {
+func (a *afterLoss) Txn(ctx context.Context, txn infra.Txn) (infra.TxnResult, error) {
 	result, err := a.KV.Txn(ctx, txn)
 	if run := a.then; run != nil && err != nil {
 		a.then = nil
--- a/internal/catalog/collect.go
+++ b/internal/catalog/collect.go
@@ -4,7 +4,7 @@
 	"context"
 	"strings"
 
-	"github.com/barleylift/barleylift/internal/platform"
+	"github.com/barleylift/barleylift/internal/infra"
 )
 
 const (
@@ -43,7 +43,7 @@
 	}
 }
 
-func unusedKeys(entries []platform.Entry, head Head) []string {
+func unusedKeys(entries []infra.Entry, head Head) []string {
 	used := make(map[string]bool, len(head.Chunks))
 	for _, ref := range head.Chunks {
 		used[chunkKey(ref.Hash)] = true
@@ -58,12 +58,12 @@
 }
 
 func (a Applier) deleteChunks(ctx context.Context, read inService, keys []string) bool {
-	txn := platform.Txn{
-		If:   []platform.Compare{platform.ModifiedAt(HeadKey, read.modRevision)},
-		Then: []platform.Op{platform.Put(CollectionKey, newNonce())},
+	txn := infra.Txn{
+		If:   []infra.Compare{infra.ModifiedAt(HeadKey, read.modRevision)},
+		Then: []infra.Op{infra.Put(CollectionKey, newNonce())},
 	}
 	for _, key := range keys {
-		txn.Then = append(txn.Then, platform.Delete(key))
+		txn.Then = append(txn.Then, infra.Delete(key))
 	}
 	result, err := a.KV.Txn(ctx, txn)
 	return err == nil && result.Succeeded
--- a/internal/catalog/fetch.go
+++ b/internal/catalog/fetch.go
@@ -4,7 +4,7 @@
 	"context"
 	"strings"
 
-	"github.com/barleylift/barleylift/internal/platform"
+	"github.com/barleylift/barleylift/internal/infra"
 	"golang.org/x/sync/errgroup"
 )
 
@@ -14,7 +14,7 @@
 
 // fetchChunks reads chunks from the key-value service: a few one by one, many
 // by ranges. A chunk that is not there gives a *ChunkError.
-func fetchChunks(ctx context.Context, kv platform.KV, hashes []Hash) (map[Hash][]byte, error) {
+func fetchChunks(ctx context.Context, kv infra.KV, hashes []Hash) (map[Hash][]byte, error) {
 	if len(hashes) > len(chunkRanges) {
 		return fetchRanges(ctx, kv, hashes)
 	}
@@ -42,8 +42,8 @@
 }
 
 // fetchRanges reads the ranges of all chunk keys and keeps the wanted ones.
-func fetchRanges(ctx context.Context, kv platform.KV, hashes []Hash) (map[Hash][]byte, error) {
-	results := make([]platform.RangeResult, len(chunkRanges))
+func fetchRanges(ctx context.Context, kv infra.KV, hashes []Hash) (map[Hash][]byte, error) {
+	results := make([]infra.RangeResult, len(chunkRanges))
 	group, ctx := errgroup.WithContext(ctx)
 	group.SetLimit(transferParallel)
 	for i, digit := range chunkRanges {
--- a/internal/catalog/follow.go
+++ b/internal/catalog/follow.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"github.com/barleylift/barleylift/internal/clock"
-	"github.com/barleylift/barleylift/internal/platform"
+	"github.com/barleylift/barleylift/internal/infra"
 )
 
 const (
@@ -104,7 +104,7 @@
 }
 
 // after returns the position after the changes of a batch.
-func (p position) after(batch platform.WatchBatch) position {
+func (p position) after(batch infra.WatchBatch) position {
 	p.revision = max(p.revision, batch.Revision)
 	for _, event := range batch.Events {
 		if event.Entry.Key != HeadKey {
@@ -139,7 +139,7 @@
 	return position{read.revision, read.modRevision}, s.take(ctx, read)
 }
 
-func (s *Store) takeBatch(ctx context.Context, batch platform.WatchBatch) error {
+func (s *Store) takeBatch(ctx context.Context, batch infra.WatchBatch) error {
 	if batch.Err != nil {
 		return batch.Err
 	}
@@ -157,7 +157,7 @@
 	return nil
 }
 
-func (s *Store) takeEvent(ctx context.Context, event platform.WatchEvent, revision int64) error {
+func (s *Store) takeEvent(ctx context.Context, event infra.WatchEvent, revision int64) error {
 	if event.Deleted {
 		return s.take(ctx, inService{revision: revision})
 	}
--- a/internal/catalog/peers_test.go
+++ b/internal/catalog/peers_test.go
@@ -10,10 +10,10 @@
 	"sync/atomic"
 	"testing"
 
+	"github.com/barleylift/barleylift/internal/infra"
 	"github.com/barleylift/barleylift/internal/metrics"
 	"github.com/barleylift/barleylift/internal/ownership"
 	"github.com/barleylift/barleylift/internal/peer"
-	"github.com/barleylift/barleylift/internal/platform"
 	"github.com/prometheus/client_golang/prometheus"
 )
 
@@ -113,7 +113,7 @@
 
 // newNetwork returns n stores that know each other and share a key-value
 // service through the wrapper, which gets the daemon's index.
-func newNetwork(t testing.TB, n int, kv func(i int) platform.KV) *network {
+func newNetwork(t testing.TB, n int, kv func(i int) infra.KV) *network {
 	t.Helper()
 	net := &network{stores: make(map[string]*Store), metrics: make(map[string]*prometheus.Registry)}
 	for i := range n {
@@ -126,7 +126,7 @@
 	return net
 }
 
-func (net *network) newStore(t testing.TB, name string, kv platform.KV) *Store {
+func (net *network) newStore(t testing.TB, name string, kv infra.KV) *Store {
 	t.Helper()
 	net.metrics[name] = prometheus.NewRegistry()
 	store, err := NewStore(StoreConfig{
--- a/internal/catalog/quic_test.go
+++ b/internal/catalog/quic_test.go
@@ -8,10 +8,10 @@
 	"testing"
 
 	"github.com/barleylift/barleylift/internal/fake"
+	"github.com/barleylift/barleylift/internal/infra"
 	"github.com/barleylift/barleylift/internal/metrics"
 	"github.com/barleylift/barleylift/internal/ownership"
 	"github.com/barleylift/barleylift/internal/peer"
-	"github.com/barleylift/barleylift/internal/platform"
 	"github.com/prometheus/client_golang/prometheus"
 )
 
@@ -73,7 +73,7 @@
 }
 
 // quicStore returns a store with a transport of its own and that transport.
-func quicStore(t testing.TB, authority *fake.Authority, name string, kv platform.KV, members func() []ownership.Member) (*Store, *peer.Transport) {
+func quicStore(t testing.TB, authority *fake.Authority, name string, kv infra.KV, members func() []ownership.Member) (*Store, *peer.Transport) {
 	t.Helper()
 	certificate, err := authority.Issue(name, peer.ServerName)
 	if err != nil {
--- a/internal/catalog/restore.go
+++ b/internal/catalog/restore.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"github.com/barleylift/barleylift/internal/clock"
-	"github.com/barleylift/barleylift/internal/platform"
+	"github.com/barleylift/barleylift/internal/infra"
 )
 
 // restoreSpread is the time over which daemons spread their attempts to
@@ -55,12 +55,12 @@
 	if _, err := uploadChunks(ctx, s.cfg.KV, st.chunks()); err != nil {
 		return err
 	}
-	result, err := s.cfg.KV.Txn(ctx, platform.Txn{
-		If: []platform.Compare{
-			platform.ModifiedAt(HeadKey, read.modRevision),
-			platform.ModifiedAt(CollectionKey, collection.ModRevision),
+	result, err := s.cfg.KV.Txn(ctx, infra.Txn{
+		If: []infra.Compare{
+			infra.ModifiedAt(HeadKey, read.modRevision),
+			infra.ModifiedAt(CollectionKey, collection.ModRevision),
 		},
-		Then: []platform.Op{platform.Put(HeadKey, st.raw)},
+		Then: []infra.Op{infra.Put(HeadKey, st.raw)},
 	})
 	if err != nil {
 		return err
--- a/internal/catalog/service.go
+++ b/internal/catalog/service.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"github.com/barleylift/barleylift/internal/clock"
-	"github.com/barleylift/barleylift/internal/platform"
+	"github.com/barleylift/barleylift/internal/infra"
 	"golang.org/x/sync/errgroup"
 )
 
@@ -37,7 +37,7 @@
 }
 
 // readHead reads the head with the service's present revision.
-func readHead(ctx context.Context, kv platform.KV) (inService, error) {
+func readHead(ctx context.Context, kv infra.KV) (inService, error) {
 	result, err := kv.Range(ctx, HeadKey)
 	if err != nil {
 		return inService{}, err
@@ -52,10 +52,10 @@
 
 // readHeadAfter reads the head only if it changed since the revision, which
 // is 0 when there was none. changed is false when it did not.
-func readHeadAfter(ctx context.Context, kv platform.KV, modRevision int64) (read inService, changed bool, err error) {
-	result, err := kv.Txn(ctx, platform.Txn{
-		If:   []platform.Compare{platform.ModifiedAt(HeadKey, modRevision)},
-		Else: []platform.Op{platform.Read(HeadKey)},
+func readHeadAfter(ctx context.Context, kv infra.KV, modRevision int64) (read inService, changed bool, err error) {
+	result, err := kv.Txn(ctx, infra.Txn{
+		If:   []infra.Compare{infra.ModifiedAt(HeadKey, modRevision)},
+		Else: []infra.Op{infra.Read(HeadKey)},
 	})
 	if err != nil {
 		return inService{}, false, err
@@ -67,21 +67,21 @@
 	return read, true, err
 }
 
-func parseHead(entry platform.Entry, revision int64) (inService, error) {
+func parseHead(entry infra.Entry, revision int64) (inService, error) {
 	head, err := decodeHead(entry.Value)
 	return inService{head: head, raw: entry.Value, modRevision: entry.ModRevision, revision: revision}, err
 }
 
 // ReadHead returns the head that the key-value service holds; ok is false
 // when it holds none.
-func ReadHead(ctx context.Context, kv platform.KV) (head Head, ok bool, err error) {
+func ReadHead(ctx context.Context, kv infra.KV) (head Head, ok bool, err error) {
 	read, err := readHead(ctx, kv)
 	return read.head, read.exists(), err
 }
 
 // ReadContents returns the generation that the key-value service holds and
 // its contents; generation 0 means none.
-func ReadContents(ctx context.Context, kv platform.KV) (Contents, uint64, error) {
+func ReadContents(ctx context.Context, kv infra.KV) (Contents, uint64, error) {
 	read, err := readHead(ctx, kv)
 	if err != nil || !read.exists() {
 		return Contents{}, 0, err
@@ -101,18 +101,18 @@
 // uploadChunks writes the chunks that the key-value service lacks and returns
 // how many were written. A chunk's key is its hash, so writing it again is
 // idempotent and a lost reply needs no settling.
-func uploadChunks(ctx context.Context, kv platform.KV, chunks []chunk) (written int, err error) {
+func uploadChunks(ctx context.Context, kv infra.KV, chunks []chunk) (written int, err error) {
 	wrote := make([]bool, len(chunks))
 	group, ctx := errgroup.WithContext(ctx)
 	group.SetLimit(transferParallel)
 	for i, c := range chunks {
 		group.Go(func() error {
 			key := chunkKey(c.ref.Hash)
-			txn := platform.Txn{
-				If:   []platform.Compare{platform.Absent(key)},
-				Then: []platform.Op{platform.Put(key, c.data)},
+			txn := infra.Txn{
+				If:   []infra.Compare{infra.Absent(key)},
+				Then: []infra.Op{infra.Put(key, c.data)},
 			}
-			result, err := retry(ctx, func() (platform.TxnResult, error) { return kv.Txn(ctx, txn) })
+			result, err := retry(ctx, func() (infra.TxnResult, error) { return kv.Txn(ctx, txn) })
 			wrote[i] = result.Succeeded
 			return err
 		})
@@ -143,11 +143,11 @@
 
 // transient reports whether the same call may succeed later.
 func transient(err error) bool {
-	var failed *platform.Error
+	var failed *infra.Error
 	if !errors.As(err, &failed) {
 		return false
 	}
-	return failed.Kind == platform.Unavailable || failed.Kind == platform.Ambiguous
+	return failed.Kind == infra.Unavailable || failed.Kind == infra.Ambiguous
 }
 
 // jitter returns a random time between three and five quarters of d.
--- a/internal/catalog/store.go
+++ b/internal/catalog/store.go
@@ -10,16 +10,16 @@
 	"time"
 
 	"github.com/barleylift/barleylift/internal/clock"
+	"github.com/barleylift/barleylift/internal/infra"
 	"github.com/barleylift/barleylift/internal/metrics"
 	"github.com/barleylift/barleylift/internal/ownership"
 	"github.com/barleylift/barleylift/internal/peer"
-	"github.com/barleylift/barleylift/internal/platform"
 )
 
 // StoreConfig is what a Store needs. KV, Self, Metrics, Log and StaleBound are
 // required; without Caller or Members the store uses the key-value service only.
 type StoreConfig struct {
-	KV     platform.KV
+	KV     infra.KV
 	Caller peer.Caller
 	// Members returns the known daemons, self included.
 	Members func() []ownership.Member
--- a/internal/catalog/store_test.go
+++ b/internal/catalog/store_test.go
@@ -11,7 +11,7 @@
 
 	"github.com/barleylift/barleylift/internal/clock"
 	"github.com/barleylift/barleylift/internal/fake"
-	"github.com/barleylift/barleylift/internal/platform"
+	"github.com/barleylift/barleylift/internal/infra"
 )
 
 const (
@@ -22,8 +22,8 @@
 )
 
 // oneKV gives every store the same service.
-func oneKV(kv platform.KV) func(int) platform.KV {
-	return func(int) platform.KV { return kv }
+func oneKV(kv infra.KV) func(int) infra.KV {
+	return func(int) infra.KV { return kv }
 }
 
 func TestStoreFollowsGenerationsInOrder(t *testing.T) {
@@ -120,16 +120,16 @@
 
 // lateWatch delivers the batches of a watch late.
 type lateWatch struct {
-	platform.KV
+	infra.KV
 	by time.Duration
 }
 
-func (l lateWatch) Watch(ctx context.Context, prefix string, from int64) (<-chan platform.WatchBatch, error) {
+func (l lateWatch) Watch(ctx context.Context, prefix string, from int64) (<-chan infra.WatchBatch, error) {
 	in, err := l.KV.Watch(ctx, prefix, from)
 	if err != nil {
 		return nil, err
 	}
-	out := make(chan platform.WatchBatch)
+	out := make(chan infra.WatchBatch)
 	go func() {
 		defer close(out)
 		for batch := range in {
@@ -150,7 +150,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		kv := fake.NewKV()
 		mustApply(t, kv, with("a"))
-		net := newNetwork(t, 3, func(i int) platform.KV {
+		net := newNetwork(t, 3, func(i int) infra.KV {
 			if i == 0 {
 				return lateWatch{kv, 10 * time.Second}
 			}
@@ -318,7 +318,7 @@
 			t.Fatal(err)
 		}
 		key := chunkKey(head.Chunks[0].Hash)
-		put := platform.Txn{Then: []platform.Op{platform.Put(HeadKey, raw), platform.Put(key, other)}}
+		put := infra.Txn{Then: []infra.Op{infra.Put(HeadKey, raw), infra.Put(key, other)}}
 		if _, err := kv.Txn(t.Context(), put); err != nil {
 			t.Fatal(err)
 		}
@@ -345,7 +345,7 @@
 			mustApply(t, kv, with("a"))
 			down := fake.NewKV()
 			down.SetDown(true)
-			net := newNetwork(t, fleet, func(i int) platform.KV {
+			net := newNetwork(t, fleet, func(i int) infra.KV {
 				if i < tc.reach {
 					return kv
 				}
--- a/internal/catalog/swap.go
+++ b/internal/catalog/swap.go
@@ -4,16 +4,16 @@
 	"context"
 	"errors"
 
-	"github.com/barleylift/barleylift/internal/platform"
+	"github.com/barleylift/barleylift/internal/infra"
 )
 
 // swap replaces the head by compare-and-swap on its revision. It also compares
 // the collection key, so that it fails if unused chunks were deleted after the
 // apply looked which ones it has to upload.
 type swap struct {
-	kv         platform.KV
+	kv         infra.KV
 	before     inService
-	collection platform.Entry
+	collection infra.Entry
 	following  Head
 	raw        []byte
 }
@@ -26,14 +26,14 @@
 }
 
 // txn returns the transaction; its else branch reads the head.
-func (s swap) txn() platform.Txn {
-	return platform.Txn{
-		If: []platform.Compare{
-			platform.ModifiedAt(HeadKey, s.before.modRevision),
-			platform.ModifiedAt(CollectionKey, s.collection.ModRevision),
+func (s swap) txn() infra.Txn {
+	return infra.Txn{
+		If: []infra.Compare{
+			infra.ModifiedAt(HeadKey, s.before.modRevision),
+			infra.ModifiedAt(CollectionKey, s.collection.ModRevision),
 		},
-		Then: []platform.Op{platform.Put(HeadKey, s.raw)},
-		Else: []platform.Op{platform.Read(HeadKey)},
+		Then: []infra.Op{infra.Put(HeadKey, s.raw)},
+		Else: []infra.Op{infra.Read(HeadKey)},
 	}
 }
 
@@ -42,10 +42,10 @@
 // changed, and the nonce in the head or its history tells whose change it was.
 func (s swap) run(ctx context.Context) (swapResult, error) {
 	ambiguous := false
-	call := func() (platform.TxnResult, error) {
+	call := func() (infra.TxnResult, error) {
 		result, err := s.kv.Txn(ctx, s.txn())
-		var failed *platform.Error
-		if errors.As(err, &failed) && failed.Kind == platform.Ambiguous {
+		var failed *infra.Error
+		if errors.As(err, &failed) && failed.Kind == infra.Ambiguous {
 			ambiguous = true
 		}
 		return result, err
@@ -64,7 +64,7 @@
 }
 
 // settle looks for the nonce in the head that the failed comparison read.
-func (s swap) settle(result platform.TxnResult, ambiguous bool) (swapResult, error) {
+func (s swap) settle(result infra.TxnResult, ambiguous bool) (swapResult, error) {
 	read, err := headOf(result)
 	if err != nil {
 		return swapResult{}, &UnsettledError{Generation: s.following.Generation, Err: err}
@@ -79,7 +79,7 @@
 }
 
 // headOf returns the head that the first operation of a transaction read.
-func headOf(result platform.TxnResult) (inService, error) {
+func headOf(result infra.TxnResult) (inService, error) {
 	if len(result.Reads) == 0 || len(result.Reads[0]) == 0 {
 		return inService{revision: result.Revision}, nil
 	}
--- a/internal/claim/config.go
+++ b/internal/claim/config.go
@@ -10,9 +10,9 @@
 
 	"github.com/barleylift/barleylift/internal/call"
 	"github.com/barleylift/barleylift/internal/catalog"
+	"github.com/barleylift/barleylift/internal/infra"
 	"github.com/barleylift/barleylift/internal/metrics"
 	"github.com/barleylift/barleylift/internal/ownership"
-	"github.com/barleylift/barleylift/internal/platform"
 )
 
 // ShardCount is the number of claim shards. It bounds the commits a second
@@ -60,7 +60,7 @@
 
 // Config holds the dependencies and limits of a Pool.
 type Config struct {
-	KV       platform.KV
+	KV       infra.KV
 	View     ownership.View
 	Sender   Sender
 	Snapshot func() *catalog.Snapshot
--- a/internal/claim/pool_test.go
+++ b/internal/claim/pool_test.go
@@ -10,7 +10,7 @@
 	"time"
 
 	"github.com/barleylift/barleylift/internal/call"
-	"github.com/barleylift/barleylift/internal/platform"
+	"github.com/barleylift/barleylift/internal/infra"
 )
 
 const testCustomer = "cragbook"
@@ -347,14 +347,14 @@
 
 // TestUnreadableShardIsNotServed damages the stored claims before a takeover.
 func TestUnreadableShardIsNotServed(t *testing.T) {
-	for _, damage := range []platform.Op{
-		platform.Put(keyPrefix+Shard(testCustomer, "ticks", "k1")+"/"+headName, []byte{0xff}),
-		platform.Delete(keyPrefix + Shard(testCustomer, "ticks", "k1") + "/0000000000000001"),
+	for _, damage := range []infra.Op{
+		infra.Put(keyPrefix+Shard(testCustomer, "ticks", "k1")+"/"+headName, []byte{0xff}),
+		infra.Delete(keyPrefix + Shard(testCustomer, "ticks", "k1") + "/0000000000000001"),
 	} {
 		inWorld(t, func(t *testing.T, w *world, owner, other *daemon, shard string) {
 			w.expect(t, owner, "x", call.Done, "")
 			time.Sleep(time.Second)
-			if _, err := w.kv.Txn(context.Background(), platform.Txn{Then: []platform.Op{damage}}); err != nil {
+			if _, err := w.kv.Txn(context.Background(), infra.Txn{Then: []infra.Op{damage}}); err != nil {
 				t.Fatal(err)
 			}
 			w.gain(other, shard)
--- a/internal/claim/store.go
+++ b/internal/claim/store.go
@@ -7,8 +7,8 @@
 	"fmt"
 	"time"
 
+	"github.com/barleylift/barleylift/internal/infra"
 	"github.com/barleylift/barleylift/internal/ownership"
-	"github.com/barleylift/barleylift/internal/platform"
 	"github.com/fxamacker/cbor/v2"
 )
 
@@ -30,7 +30,7 @@
 
 // store reads and writes one shard's keys in the key-value service.
 type store struct {
-	kv    platform.KV
+	kv    infra.KV
 	shard string
 	token ownership.Token
 }
@@ -98,7 +98,7 @@
 	return storedSegment{seq: seq, bytes: len(entry.Value), records: decoded.Records}, nil
 }
 
-func (s *store) get(ctx context.Context, key string) (platform.Entry, error) {
+func (s *store) get(ctx context.Context, key string) (infra.Entry, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	return s.kv.Get(ctx, key)
@@ -170,24 +170,24 @@
 	return s.compared(w, result)
 }
 
-func (s *store) txn(w *write) platform.Txn {
+func (s *store) txn(w *write) infra.Txn {
 	owner := ownerPrefix + s.shard
-	txn := platform.Txn{
-		If:   []platform.Compare{platform.CreatedAt(owner, int64(s.token)), platform.ModifiedAt(s.headKey(), w.after)},
-		Then: []platform.Op{platform.Put(s.headKey(), w.head)},
-		Else: []platform.Op{platform.Read(owner), platform.Read(s.headKey())},
+	txn := infra.Txn{
+		If:   []infra.Compare{infra.CreatedAt(owner, int64(s.token)), infra.ModifiedAt(s.headKey(), w.after)},
+		Then: []infra.Op{infra.Put(s.headKey(), w.head)},
+		Else: []infra.Op{infra.Read(owner), infra.Read(s.headKey())},
 	}
 	if w.segmentKey != "" {
-		txn.Then = append(txn.Then, platform.Put(w.segmentKey, w.segment))
+		txn.Then = append(txn.Then, infra.Put(w.segmentKey, w.segment))
 	}
 	for _, key := range w.deletes {
-		txn.Then = append(txn.Then, platform.Delete(key))
+		txn.Then = append(txn.Then, infra.Delete(key))
 	}
 	return txn
 }
 
 // compared judges a transaction whose comparison failed by what it read.
-func (s *store) compared(w *write, result platform.TxnResult) (commitStatus, int64, error) {
+func (s *store) compared(w *write, result infra.TxnResult) (commitStatus, int64, error) {
 	if len(result.Reads) != 2 {
 		return commitAmbiguous, 0, &StorageError{Key: s.headKey(), Err: errors.New("reads are missing in the reply")}
 	}
@@ -210,8 +210,8 @@
 
 // statusOf tells what an error of the key-value service means for a commit.
 func statusOf(err error) commitStatus {
-	var failure *platform.Error
-	if errors.As(err, &failure) && failure.Kind != platform.Ambiguous {
+	var failure *infra.Error
+	if errors.As(err, &failure) && failure.Kind != infra.Ambiguous {
 		return commitUntouched
 	}
 	return commitAmbiguous
--- a/internal/claim/world_test.go
+++ b/internal/claim/world_test.go
@@ -11,9 +11,9 @@
 	"github.com/barleylift/barleylift/internal/call"
 	"github.com/barleylift/barleylift/internal/catalog"
 	"github.com/barleylift/barleylift/internal/fake"
+	"github.com/barleylift/barleylift/internal/infra"
 	"github.com/barleylift/barleylift/internal/metrics"
 	"github.com/barleylift/barleylift/internal/ownership"
-	"github.com/barleylift/barleylift/internal/platform"
 	"github.com/prometheus/client_golang/prometheus"
 )
 
@@ -63,20 +63,20 @@
 	k.dead = true
 }
 
-func (k *faultyKV) Txn(ctx context.Context, txn platform.Txn) (platform.TxnResult, error) {
+func (k *faultyKV) Txn(ctx context.Context, txn infra.Txn) (infra.TxnResult, error) {
 	fault, dead := k.next()
 	if dead {
-		return platform.TxnResult{}, &platform.Error{Op: "txn", Kind: platform.Ambiguous, Err: errInjected}
+		return infra.TxnResult{}, &infra.Error{Op: "txn", Kind: infra.Ambiguous, Err: errInjected}
 	}
 	switch fault {
 	case txnUnavailable:
-		return platform.TxnResult{}, &platform.Error{Op: "txn", Kind: platform.Unavailable, Err: errInjected}
+		return infra.TxnResult{}, &infra.Error{Op: "txn", Kind: infra.Unavailable, Err: errInjected}
 	case txnReplyLost:
 		_, _ = k.KV.Txn(context.Background(), txn)
-		return platform.TxnResult{}, &platform.Error{Op: "txn", Kind: platform.Ambiguous, Err: errInjected}
+		return infra.TxnResult{}, &infra.Error{Op: "txn", Kind: infra.Ambiguous, Err: errInjected}
 	case txnDelayed:
 		time.AfterFunc(lateTxn, func() { _, _ = k.KV.Txn(context.Background(), txn) })
-		return platform.TxnResult{}, &platform.Error{Op: "txn", Kind: platform.Ambiguous, Err: errInjected}
+		return infra.TxnResult{}, &infra.Error{Op: "txn", Kind: infra.Ambiguous, Err: errInjected}
 	}
 	return k.KV.Txn(ctx, txn)
 }
@@ -260,8 +260,8 @@
 // tells it so. An earlier owner is not told.
 func (w *world) gain(d *daemon, shard string) {
 	key := ownerPrefix + shard
-	_, _ = w.kv.Txn(context.Background(), platform.Txn{Then: []platform.Op{platform.Delete(key)}})
-	result, err := w.kv.Txn(context.Background(), platform.Txn{Then: []platform.Op{platform.Put(key, nil)}})
+	_, _ = w.kv.Txn(context.Background(), infra.Txn{Then: []infra.Op{infra.Delete(key)}})
+	result, err := w.kv.Txn(context.Background(), infra.Txn{Then: []infra.Op{infra.Put(key, nil)}})
 	if err != nil {
 		panic(err)
 	}
--- a/internal/command/service.go
+++ b/internal/command/service.go
@@ -11,8 +11,8 @@
 	"strings"
 	"time"
 
+	"github.com/barleylift/barleylift/internal/infra"
 	"github.com/barleylift/barleylift/internal/ownership"
-	"github.com/barleylift/barleylift/internal/platform"
 	"github.com/barleylift/barleylift/internal/settings"
 	"github.com/barleylift/barleylift/internal/status"
 	"golang.org/x/sync/errgroup"
@@ -35,8 +35,8 @@
 )
 
 // openKV connects to the key-value service that the options name.
-func (c commands) openKV() (platform.KV, error) {
-	config := platform.EtcdConfig{Endpoints: c.options.endpoints}
+func (c commands) openKV() (infra.KV, error) {
+	config := infra.EtcdConfig{Endpoints: c.options.endpoints}
 	if c.options.settings != "" {
 		s, err := settings.Load(c.options.settings)
 		if err != nil {
@@ -47,7 +47,7 @@
 			config.Endpoints = s.KeyValue.Endpoints
 		}
 	}
-	return platform.NewEtcdKV(config)
+	return infra.NewEtcdKV(config)
 }
 
 // splitCommas divides each text at its commas. The flag may also be repeated.
@@ -65,7 +65,7 @@
 }
 
 // readMembers returns the daemons that the key-value service knows, in name order.
-func readMembers(ctx context.Context, kv platform.KV) ([]ownership.Member, error) {
+func readMembers(ctx context.Context, kv infra.KV) ([]ownership.Member, error) {
 	result, err := kv.Range(ctx, memberPrefix)
 	if err != nil {
 		return nil, err
@@ -168,7 +168,7 @@
 
 // witness asks some daemons for the highest generation in force. Daemons
 // spread a generation among themselves within seconds, so that a few know it.
-func witness(kv platform.KV) func(context.Context) (uint64, error) {
+func witness(kv infra.KV) func(context.Context) (uint64, error) {
 	return func(ctx context.Context) (uint64, error) {
 		members, err := readMembers(ctx, kv)
 		if err != nil || len(members) == 0 {
--- a/internal/daemon/build.go
+++ b/internal/daemon/build.go
@@ -15,6 +15,7 @@
 	"github.com/barleylift/barleylift/internal/catalog"
 	"github.com/barleylift/barleylift/internal/claim"
 	"github.com/barleylift/barleylift/internal/entry"
+	"github.com/barleylift/barleylift/internal/infra"
 	"github.com/barleylift/barleylift/internal/locate"
 	"github.com/barleylift/barleylift/internal/metrics"
 	"github.com/barleylift/barleylift/internal/owner"
@@ -22,7 +23,6 @@
 	"github.com/barleylift/barleylift/internal/peer"
 	"github.com/barleylift/barleylift/internal/permit"
 	"github.com/barleylift/barleylift/internal/plain"
-	"github.com/barleylift/barleylift/internal/platform"
 	"github.com/barleylift/barleylift/internal/profile"
 	"github.com/barleylift/barleylift/internal/upstream"
 )
@@ -31,7 +31,7 @@
 	d.registry = prometheus.NewRegistry()
 	d.registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	d.metrics = metrics.New(d.registry)
-	kv, err := platform.NewEtcdKV(platform.EtcdConfig{
+	kv, err := infra.NewEtcdKV(infra.EtcdConfig{
 		Endpoints: d.settings.KeyValue.Endpoints,
 		Timeout:   d.settings.KeyValue.Timeout,
 		Observe:   d.metrics.KVCall,
@@ -43,7 +43,7 @@
 	if d.settings.VMList.URL == "" {
 		return nil
 	}
-	list, err := platform.NewVMListClient(d.settings.VMList.URL, nil)
+	list, err := infra.NewVMListClient(d.settings.VMList.URL, nil)
 	if err != nil {
 		return fmt.Errorf("VM list: %w", err)
 	}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -16,6 +16,7 @@
 	"github.com/barleylift/barleylift/internal/claim"
 	"github.com/barleylift/barleylift/internal/clock"
 	"github.com/barleylift/barleylift/internal/entry"
+	"github.com/barleylift/barleylift/internal/infra"
 	"github.com/barleylift/barleylift/internal/limit"
 	"github.com/barleylift/barleylift/internal/locate"
 	"github.com/barleylift/barleylift/internal/metrics"
@@ -24,7 +25,6 @@
 	"github.com/barleylift/barleylift/internal/peer"
 	"github.com/barleylift/barleylift/internal/permit"
 	"github.com/barleylift/barleylift/internal/plain"
-	"github.com/barleylift/barleylift/internal/platform"
 	"github.com/barleylift/barleylift/internal/settings"
 	"github.com/barleylift/barleylift/internal/upstream"
 )
@@ -51,8 +51,8 @@
 	registry *prometheus.Registry
 	metrics  *metrics.Set
 
-	kv        platform.KV
-	vmList    platform.VMList
+	kv        infra.KV
+	vmList    infra.VMList
 	transport *peer.Transport
 	store     *catalog.Store
 	manager   *ownership.Manager
--- a/internal/daemon/vms.go
+++ b/internal/daemon/vms.go
@@ -6,7 +6,7 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/barleylift/barleylift/internal/platform"
+	"github.com/barleylift/barleylift/internal/infra"
 )
 
 // leavingVMs is the set of addresses that the VM list shows as leaving.
@@ -20,10 +20,10 @@
 	return l
 }
 
-func (l *leavingVMs) set(vms []platform.VM) {
+func (l *leavingVMs) set(vms []infra.VM) {
 	addresses := make(map[string]bool)
 	for _, vm := range vms {
-		if vm.State == platform.VMLeaving {
+		if vm.State == infra.VMLeaving {
 			addresses[vm.Address] = true
 		}
 	}
--- a/internal/dev/cluster.go
+++ b/internal/dev/cluster.go
@@ -12,8 +12,8 @@
 	"github.com/barleylift/barleylift/internal/catalog"
 	"github.com/barleylift/barleylift/internal/daemon"
 	"github.com/barleylift/barleylift/internal/fake"
+	"github.com/barleylift/barleylift/internal/infra"
 	"github.com/barleylift/barleylift/internal/peer"
-	"github.com/barleylift/barleylift/internal/platform"
 	"github.com/barleylift/barleylift/internal/settings"
 )
 
@@ -278,13 +278,13 @@
 	for _, i := range leaving {
 		gone[i] = true
 	}
-	var vms []platform.VM
+	var vms []infra.VM
 	for i, e := range c.Contents.Engines {
-		state := platform.VMLive
+		state := infra.VMLive
 		if gone[i] {
-			state = platform.VMLeaving
+			state = infra.VMLeaving
 		}
-		vms = append(vms, platform.VM{Address: e.Address[len("http://"):], Zone: e.Zone, State: state})
+		vms = append(vms, infra.VM{Address: e.Address[len("http://"):], Zone: e.Zone, State: state})
 	}
 	c.VMs.Set(vms...)
 }
--- a/internal/fake/kv.go
+++ b/internal/fake/kv.go
@@ -9,7 +9,7 @@
 	"sync"
 	"time"
 
-	"github.com/barleylift/barleylift/internal/platform"
+	"github.com/barleylift/barleylift/internal/infra"
 	"golang.org/x/time/rate"
 )
 
@@ -27,16 +27,16 @@
 	errBadTTL    = errors.New("lease time to live must be positive")
 )
 
-// KV is an in-memory key-value service that implements platform.KV. It keeps
+// KV is an in-memory key-value service that implements infra.KV. It keeps
 // time with time.Now and timers, so that it works within testing/synctest.
 type KV struct {
 	mu        sync.Mutex // guards all fields below; held for table changes only
 	revision  int64
 	compacted int64
-	entries   map[string]platform.Entry
-	leases    map[platform.LeaseID]*lease
-	nextLease platform.LeaseID
-	history   []platform.WatchBatch
+	entries   map[string]infra.Entry
+	leases    map[infra.LeaseID]*lease
+	nextLease infra.LeaseID
+	history   []infra.WatchBatch
 	watchers  map[*watcher]struct{}
 	calls     Calls
 	faults    faults
@@ -69,14 +69,14 @@
 	return c.Writes() + c.Get + c.Range + c.Watch
 }
 
-var _ platform.KV = (*KV)(nil)
+var _ infra.KV = (*KV)(nil)
 
 // NewKV returns an empty service at revision 1.
 func NewKV() *KV {
 	return &KV{
 		revision:  1,
-		entries:   make(map[string]platform.Entry),
-		leases:    make(map[platform.LeaseID]*lease),
+		entries:   make(map[string]infra.Entry),
+		leases:    make(map[infra.LeaseID]*lease),
 		nextLease: 1,
 		watchers:  make(map[*watcher]struct{}),
 	}
@@ -96,17 +96,17 @@
 	delay := s.faults.delay
 	s.mu.Unlock()
 	if err := sleep(ctx, delay); err != nil {
-		return &platform.Error{Op: op, Kind: platform.Unavailable, Err: err}
+		return &infra.Error{Op: op, Kind: infra.Unavailable, Err: err}
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	*counter++
 	if s.faults.down {
-		return &platform.Error{Op: op, Kind: platform.Unavailable, Err: errDown}
+		return &infra.Error{Op: op, Kind: infra.Unavailable, Err: errDown}
 	}
 	if l := limiter(&s.faults); l != nil && !l.Allow() {
 		s.calls.Limited++
-		return &platform.Error{Op: op, Kind: platform.Unavailable, Err: errRate}
+		return &infra.Error{Op: op, Kind: infra.Unavailable, Err: errRate}
 	}
 	return nil
 }
@@ -125,10 +125,10 @@
 	}
 }
 
-// Get implements platform.KV.
-func (s *KV) Get(ctx context.Context, key string) (platform.Entry, error) {
+// Get implements infra.KV.
+func (s *KV) Get(ctx context.Context, key string) (infra.Entry, error) {
 	if err := s.admit(ctx, "get", &s.calls.Get, readLimiter); err != nil {
-		return platform.Entry{}, err
+		return infra.Entry{}, err
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -137,137 +137,137 @@
 	return e, nil
 }
 
-// Range implements platform.KV.
-func (s *KV) Range(ctx context.Context, prefix string) (platform.RangeResult, error) {
+// Range implements infra.KV.
+func (s *KV) Range(ctx context.Context, prefix string) (infra.RangeResult, error) {
 	if err := s.admit(ctx, "range", &s.calls.Range, readLimiter); err != nil {
-		return platform.RangeResult{}, err
+		return infra.RangeResult{}, err
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	result := platform.RangeResult{Entries: s.matching(prefix), Revision: s.revision}
+	result := infra.RangeResult{Entries: s.matching(prefix), Revision: s.revision}
 	for _, e := range result.Entries {
 		s.calls.RangeBytes += size(e)
 	}
 	return result, nil
 }
 
-func (s *KV) matching(prefix string) []platform.Entry {
-	var found []platform.Entry
+func (s *KV) matching(prefix string) []infra.Entry {
+	var found []infra.Entry
 	for key, e := range s.entries {
 		if strings.HasPrefix(key, prefix) {
 			found = append(found, clone(e))
 		}
 	}
-	slices.SortFunc(found, func(a, b platform.Entry) int { return strings.Compare(a.Key, b.Key) })
+	slices.SortFunc(found, func(a, b infra.Entry) int { return strings.Compare(a.Key, b.Key) })
 	return found
 }
 
-func clone(e platform.Entry) platform.Entry {
+func clone(e infra.Entry) infra.Entry {
 	e.Value = slices.Clone(e.Value)
 	return e
 }
 
-func size(e platform.Entry) int {
+func size(e infra.Entry) int {
 	return len(e.Key) + len(e.Value)
 }
 
-// Txn implements platform.KV.
-func (s *KV) Txn(ctx context.Context, txn platform.Txn) (platform.TxnResult, error) {
+// Txn implements infra.KV.
+func (s *KV) Txn(ctx context.Context, txn infra.Txn) (infra.TxnResult, error) {
 	if err := s.admit(ctx, "txn", &s.calls.Txn, writeLimiter); err != nil {
-		return platform.TxnResult{}, err
+		return infra.TxnResult{}, err
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if kind, err := s.check(txn); err != nil {
-		return platform.TxnResult{}, &platform.Error{Op: "txn", Kind: kind, Err: err}
+		return infra.TxnResult{}, &infra.Error{Op: "txn", Kind: kind, Err: err}
 	}
 	result := s.apply(txn)
 	if s.faults.loseTxn(txn) {
-		return platform.TxnResult{}, &platform.Error{Op: "txn", Kind: platform.Ambiguous, Err: errLost}
+		return infra.TxnResult{}, &infra.Error{Op: "txn", Kind: infra.Ambiguous, Err: errLost}
 	}
 	return result, nil
 }
 
 // check refuses what the service refuses before it executes a transaction.
-func (s *KV) check(txn platform.Txn) (platform.ErrorKind, error) {
+func (s *KV) check(txn infra.Txn) (infra.ErrorKind, error) {
 	total := 0
-	for _, branch := range [][]platform.Op{txn.Then, txn.Else} {
+	for _, branch := range [][]infra.Op{txn.Then, txn.Else} {
 		seen := make(map[string]bool)
 		for _, op := range branch {
-			if op.Kind == platform.OpGet {
+			if op.Kind == infra.OpGet {
 				continue
 			}
 			if seen[op.Key] {
-				return platform.Refused, errDuplicate
+				return infra.Refused, errDuplicate
 			}
 			seen[op.Key] = true
 			total += len(op.Value)
 			if op.Lease != 0 && s.leases[op.Lease] == nil {
-				return platform.LeaseNotFound, errNoLease
+				return infra.LeaseNotFound, errNoLease
 			}
 		}
 	}
 	if total > maxValueBytes {
-		return platform.Refused, errTooLarge
+		return infra.Refused, errTooLarge
 	}
 	return 0, nil
 }
 
-func (s *KV) apply(txn platform.Txn) platform.TxnResult {
-	holds := !slices.ContainsFunc(txn.If, func(c platform.Compare) bool { return !s.holds(c) })
+func (s *KV) apply(txn infra.Txn) infra.TxnResult {
+	holds := !slices.ContainsFunc(txn.If, func(c infra.Compare) bool { return !s.holds(c) })
 	branch := txn.Else
 	if holds {
 		branch = txn.Then
 	}
-	reads := make([][]platform.Entry, len(branch))
+	reads := make([][]infra.Entry, len(branch))
 	next := s.revision + 1
-	var events []platform.WatchEvent
+	var events []infra.WatchEvent
 	for i, op := range branch {
 		switch op.Kind {
-		case platform.OpGet:
+		case infra.OpGet:
 			reads[i] = s.read(op)
-		case platform.OpPut:
+		case infra.OpPut:
 			events = append(events, s.put(op, next))
-		case platform.OpDelete:
+		case infra.OpDelete:
 			events = append(events, s.remove(op, next)...)
 		}
 	}
 	s.publish(next, events)
-	return platform.TxnResult{Succeeded: holds, Revision: s.revision, Reads: reads}
+	return infra.TxnResult{Succeeded: holds, Revision: s.revision, Reads: reads}
 }
 
-func (s *KV) holds(c platform.Compare) bool {
+func (s *KV) holds(c infra.Compare) bool {
 	e := s.entries[c.Key]
 	switch c.Target {
-	case platform.CompareCreateRevision:
+	case infra.CompareCreateRevision:
 		return e.CreateRevision == c.Revision
-	case platform.CompareModRevision:
+	case infra.CompareModRevision:
 		return e.ModRevision == c.Revision
 	default:
 		return e.Exists() && string(e.Value) == string(c.Value)
 	}
 }
 
-func (s *KV) read(op platform.Op) []platform.Entry {
+func (s *KV) read(op infra.Op) []infra.Entry {
 	if op.Prefix {
 		return s.matching(op.Key)
 	}
 	if e, ok := s.entries[op.Key]; ok {
-		return []platform.Entry{clone(e)}
+		return []infra.Entry{clone(e)}
 	}
-	return []platform.Entry{}
+	return []infra.Entry{}
 }
 
-func (s *KV) put(op platform.Op, revision int64) platform.WatchEvent {
-	e := platform.Entry{Key: op.Key, Value: slices.Clone(op.Value), CreateRevision: revision, ModRevision: revision, Lease: op.Lease}
+func (s *KV) put(op infra.Op, revision int64) infra.WatchEvent {
+	e := infra.Entry{Key: op.Key, Value: slices.Clone(op.Value), CreateRevision: revision, ModRevision: revision, Lease: op.Lease}
 	if old, ok := s.entries[op.Key]; ok {
 		e.CreateRevision = old.CreateRevision
 	}
 	s.entries[op.Key] = e
-	return platform.WatchEvent{Entry: e}
+	return infra.WatchEvent{Entry: e}
 }
 
-func (s *KV) remove(op platform.Op, revision int64) []platform.WatchEvent {
+func (s *KV) remove(op infra.Op, revision int64) []infra.WatchEvent {
 	keys := []string{op.Key}
 	if op.Prefix {
 		keys = keysOf(s.matching(op.Key))
@@ -275,19 +275,19 @@
 	return s.removeKeys(keys, revision)
 }
 
-func (s *KV) removeKeys(keys []string, revision int64) []platform.WatchEvent {
-	var events []platform.WatchEvent
+func (s *KV) removeKeys(keys []string, revision int64) []infra.WatchEvent {
+	var events []infra.WatchEvent
 	for _, key := range keys {
 		if _, ok := s.entries[key]; !ok {
 			continue
 		}
 		delete(s.entries, key)
-		events = append(events, platform.WatchEvent{Deleted: true, Entry: platform.Entry{Key: key, ModRevision: revision}})
+		events = append(events, infra.WatchEvent{Deleted: true, Entry: infra.Entry{Key: key, ModRevision: revision}})
 	}
 	return events
 }
 
-func keysOf(entries []platform.Entry) []string {
+func keysOf(entries []infra.Entry) []string {
 	keys := make([]string, len(entries))
 	for i, e := range entries {
 		keys[i] = e.Key
@@ -296,12 +296,12 @@
 }
 
 // publish makes a revision of the events and hands it to the watches.
-func (s *KV) publish(revision int64, events []platform.WatchEvent) {
+func (s *KV) publish(revision int64, events []infra.WatchEvent) {
 	if len(events) == 0 {
 		return
 	}
 	s.revision = revision
-	batch := platform.WatchBatch{Events: events, Revision: revision}
+	batch := infra.WatchBatch{Events: events, Revision: revision}
 	s.history = append(s.history, batch)
 	for w := range s.watchers {
 		s.deliver(w, batch)
--- a/internal/fake/kv_convert.go
+++ b/internal/fake/kv_convert.go
@@ -4,8 +4,8 @@
 	"bytes"
 	"errors"
 
-	"github.com/barleylift/barleylift/internal/platform"
-	"github.com/barleylift/barleylift/internal/platform/etcdjson"
+	"github.com/barleylift/barleylift/internal/infra"
+	"github.com/barleylift/barleylift/internal/infra/etcdjson"
 )
 
 var errBadRequest = errors.New("request is not supported")
@@ -14,7 +14,7 @@
 func scopeOf(key, end []byte) (scope string, prefix bool, err error) {
 	switch {
 	case len(key) == 0:
-		return "", false, &platform.Error{Kind: platform.Refused, Err: errBadRequest}
+		return "", false, &infra.Error{Kind: infra.Refused, Err: errBadRequest}
 	case len(end) == 0:
 		return string(key), false, nil
 	case bytes.Equal(key, []byte{0}) && bytes.Equal(end, []byte{0}):
@@ -22,11 +22,11 @@
 	case bytes.Equal(end, etcdjson.PrefixEnd(string(key))):
 		return string(key), true, nil
 	default:
-		return "", false, &platform.Error{Kind: platform.Refused, Err: errBadRequest}
+		return "", false, &infra.Error{Kind: infra.Refused, Err: errBadRequest}
 	}
 }
 
-func kvsOf(entries []platform.Entry) []etcdjson.KeyValue {
+func kvsOf(entries []infra.Entry) []etcdjson.KeyValue {
 	var kvs []etcdjson.KeyValue
 	for _, e := range entries {
 		kvs = append(kvs, kvOf(e))
@@ -34,7 +34,7 @@
 	return kvs
 }
 
-func kvOf(e platform.Entry) etcdjson.KeyValue {
+func kvOf(e infra.Entry) etcdjson.KeyValue {
 	return etcdjson.KeyValue{
 		Key:            []byte(e.Key),
 		Value:          e.Value,
@@ -44,7 +44,7 @@
 	}
 }
 
-func eventsOf(events []platform.WatchEvent) []etcdjson.Event {
+func eventsOf(events []infra.WatchEvent) []etcdjson.Event {
 	converted := make([]etcdjson.Event, len(events))
 	for i, e := range events {
 		converted[i].KV = kvOf(e.Entry)
@@ -55,36 +55,36 @@
 	return converted
 }
 
-func txnOf(q etcdjson.TxnRequest) (platform.Txn, error) {
-	var txn platform.Txn
+func txnOf(q etcdjson.TxnRequest) (infra.Txn, error) {
+	var txn infra.Txn
 	for _, c := range q.Compare {
 		compare, err := compareOf(c)
 		if err != nil {
-			return platform.Txn{}, err
+			return infra.Txn{}, err
 		}
 		txn.If = append(txn.If, compare)
 	}
 	var err error
 	if txn.Then, err = opsOf(q.Success); err != nil {
-		return platform.Txn{}, err
+		return infra.Txn{}, err
 	}
 	txn.Else, err = opsOf(q.Failure)
 	return txn, err
 }
 
-func compareOf(c etcdjson.Compare) (platform.Compare, error) {
-	compare := platform.Compare{Key: string(c.Key)}
+func compareOf(c etcdjson.Compare) (infra.Compare, error) {
+	compare := infra.Compare{Key: string(c.Key)}
 	switch {
 	case c.Result != etcdjson.ResultEqual:
-		return compare, &platform.Error{Kind: platform.Refused, Err: errBadRequest}
+		return compare, &infra.Error{Kind: infra.Refused, Err: errBadRequest}
 	case c.Target == etcdjson.TargetCreate:
-		compare.Target = platform.CompareCreateRevision
+		compare.Target = infra.CompareCreateRevision
 		compare.Revision = revisionOf(c.CreateRevision)
 	case c.Target == etcdjson.TargetMod:
-		compare.Target = platform.CompareModRevision
+		compare.Target = infra.CompareModRevision
 		compare.Revision = revisionOf(c.ModRevision)
 	default:
-		compare.Target = platform.CompareValue
+		compare.Target = infra.CompareValue
 		compare.Value = c.Value
 	}
 	return compare, nil
@@ -97,8 +97,8 @@
 	return *r
 }
 
-func opsOf(requests []etcdjson.RequestOp) ([]platform.Op, error) {
-	ops := make([]platform.Op, len(requests))
+func opsOf(requests []etcdjson.RequestOp) ([]infra.Op, error) {
+	ops := make([]infra.Op, len(requests))
 	for i, q := range requests {
 		op, err := opOf(q)
 		if err != nil {
@@ -109,19 +109,19 @@
 	return ops, nil
 }
 
-func opOf(q etcdjson.RequestOp) (op platform.Op, err error) {
+func opOf(q etcdjson.RequestOp) (op infra.Op, err error) {
 	switch {
 	case q.Put != nil:
-		return platform.Op{Kind: platform.OpPut, Key: string(q.Put.Key), Value: q.Put.Value, Lease: platform.LeaseID(q.Put.Lease)}, nil
+		return infra.Op{Kind: infra.OpPut, Key: string(q.Put.Key), Value: q.Put.Value, Lease: infra.LeaseID(q.Put.Lease)}, nil
 	case q.Delete != nil:
-		op.Kind = platform.OpDelete
+		op.Kind = infra.OpDelete
 		op.Key, op.Prefix, err = scopeOf(q.Delete.Key, q.Delete.RangeEnd)
 		return op, err
 	case q.Range != nil:
-		op.Kind = platform.OpGet
+		op.Kind = infra.OpGet
 		op.Key, op.Prefix, err = scopeOf(q.Range.Key, q.Range.RangeEnd)
 		return op, err
 	default:
-		return op, &platform.Error{Kind: platform.Refused, Err: errBadRequest}
+		return op, &infra.Error{Kind: infra.Refused, Err: errBadRequest}
 	}
 }
--- a/internal/fake/kv_fault.go
+++ b/internal/fake/kv_fault.go
@@ -4,16 +4,16 @@
 	"maps"
 	"time"
 
-	"github.com/barleylift/barleylift/internal/platform"
+	"github.com/barleylift/barleylift/internal/infra"
 	"golang.org/x/time/rate"
 )
 
 // Snapshot is a copy of the service's keys at one revision.
 type Snapshot struct {
 	revision int64
-	entries  map[string]platform.Entry
+	entries  map[string]infra.Entry
 	// nextLease is the first lease that the snapshot does not know.
-	nextLease platform.LeaseID
+	nextLease infra.LeaseID
 }
 
 type faults struct {
@@ -22,7 +22,7 @@
 	frozen      bool
 	delay       time.Duration
 	loseReplies int
-	loseMatch   func(platform.Txn) bool
+	loseMatch   func(infra.Txn) bool
 	loseGrants  int
 	reads       *rate.Limiter
 	writes      *rate.Limiter
@@ -32,7 +32,7 @@
 func writeLimiter(f *faults) *rate.Limiter { return f.writes }
 
 // loseTxn reports whether the reply of the transaction is to be lost.
-func (f *faults) loseTxn(txn platform.Txn) bool {
+func (f *faults) loseTxn(txn infra.Txn) bool {
 	if f.loseReplies == 0 || (f.loseMatch != nil && !f.loseMatch(txn)) {
 		return false
 	}
@@ -76,7 +76,7 @@
 
 // LoseReplies lets the next n transactions that match take effect and then
 // fail as Ambiguous. A nil match matches all.
-func (s *KV) LoseReplies(n int, match func(platform.Txn) bool) {
+func (s *KV) LoseReplies(n int, match func(infra.Txn) bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.faults.loseReplies = n
@@ -98,7 +98,7 @@
 }
 
 // ExpireLease ends a lease at once.
-func (s *KV) ExpireLease(id platform.LeaseID) {
+func (s *KV) ExpireLease(id infra.LeaseID) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.leases[id] != nil {
@@ -140,7 +140,7 @@
 	}
 	s.revision = old.revision
 	s.entries = maps.Clone(old.entries)
-	maps.DeleteFunc(s.entries, func(_ string, e platform.Entry) bool {
+	maps.DeleteFunc(s.entries, func(_ string, e infra.Entry) bool {
 		return e.Lease != 0 && s.leases[e.Lease] == nil
 	})
 	s.restoreHistory(old.revision)
--- a/internal/fake/kv_http.go
+++ b/internal/fake/kv_http.go
@@ -7,8 +7,8 @@
 	"net/http"
 	"time"
 
-	"github.com/barleylift/barleylift/internal/platform"
-	"github.com/barleylift/barleylift/internal/platform/etcdjson"
+	"github.com/barleylift/barleylift/internal/infra"
+	"github.com/barleylift/barleylift/internal/infra/etcdjson"
 )
 
 // progressInterval is the time between progress notifications on a watch.
@@ -34,7 +34,7 @@
 		var request Q
 		err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxRequestBytes)).Decode(&request)
 		if err != nil {
-			writeError(w, &platform.Error{Kind: platform.Refused, Err: err})
+			writeError(w, &infra.Error{Kind: infra.Refused, Err: err})
 			return
 		}
 		response, err := serve(r.Context(), request)
@@ -50,17 +50,17 @@
 // writeError answers as the gateway does; a lost reply cuts the connection.
 func writeError(w http.ResponseWriter, err error) {
 	status, details := http.StatusServiceUnavailable, etcdjson.Error{Code: etcdjson.CodeUnavailable, Message: "etcdserver: no leader"}
-	var e *platform.Error
+	var e *infra.Error
 	if errors.As(err, &e) {
 		switch {
-		case e.Kind == platform.Ambiguous:
+		case e.Kind == infra.Ambiguous:
 			hangUp(w)
 			return
 		case errors.Is(err, errRate):
 			status, details = http.StatusTooManyRequests, etcdjson.Error{Code: etcdjson.CodeResourceExhausted}
-		case e.Kind == platform.LeaseNotFound:
+		case e.Kind == infra.LeaseNotFound:
 			status, details = http.StatusNotFound, etcdjson.Error{Code: etcdjson.CodeNotFound}
-		case e.Kind == platform.Refused:
+		case e.Kind == infra.Refused:
 			status, details = http.StatusBadRequest, etcdjson.Error{Code: etcdjson.CodeInvalidArgument}
 		}
 		if details.Message == "" {
@@ -91,7 +91,7 @@
 	e, err := s.Get(ctx, key)
 	response := etcdjson.RangeResponse{Header: s.header()}
 	if e.Exists() {
-		response.KVs = kvsOf([]platform.Entry{e})
+		response.KVs = kvsOf([]infra.Entry{e})
 	}
 	return response, err
 }
@@ -125,9 +125,9 @@
 }
 
 func (s *KV) serveKeepAlive(ctx context.Context, q etcdjson.LeaseRequest) (etcdjson.LeaseStream, error) {
-	ttl, err := s.KeepAlive(ctx, platform.LeaseID(q.ID))
-	var e *platform.Error
-	if errors.As(err, &e) && e.Kind == platform.LeaseNotFound {
+	ttl, err := s.KeepAlive(ctx, infra.LeaseID(q.ID))
+	var e *infra.Error
+	if errors.As(err, &e) && e.Kind == infra.LeaseNotFound {
 		err = nil
 	}
 	response := etcdjson.LeaseResponse{Header: s.header(), ID: q.ID, TTL: int64(ttl / time.Second)}
@@ -135,14 +135,14 @@
 }
 
 func (s *KV) serveRevoke(ctx context.Context, q etcdjson.LeaseRequest) (etcdjson.LeaseResponse, error) {
-	return etcdjson.LeaseResponse{Header: s.header()}, s.Revoke(ctx, platform.LeaseID(q.ID))
+	return etcdjson.LeaseResponse{Header: s.header()}, s.Revoke(ctx, infra.LeaseID(q.ID))
 }
 
 func (s *KV) serveWatch(w http.ResponseWriter, r *http.Request) {
 	var q etcdjson.WatchRequest
 	err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxRequestBytes)).Decode(&q)
 	if err != nil || q.Create == nil {
-		writeError(w, &platform.Error{Kind: platform.Refused, Err: errBadRequest})
+		writeError(w, &infra.Error{Kind: infra.Refused, Err: errBadRequest})
 		return
 	}
 	prefix, _, err := scopeOf(q.Create.Key, q.Create.RangeEnd)
@@ -152,8 +152,8 @@
 	}
 	stream := watchWriter{w: w, controller: http.NewResponseController(w), encoder: json.NewEncoder(w)}
 	batches, err := s.Watch(r.Context(), prefix, q.Create.StartRevision)
-	var e *platform.Error
-	if errors.As(err, &e) && e.Kind == platform.Compacted {
+	var e *infra.Error
+	if errors.As(err, &e) && e.Kind == infra.Compacted {
 		stream.send(etcdjson.WatchResponse{Header: s.header(), Created: true})
 		stream.send(etcdjson.WatchResponse{Header: s.header(), Canceled: true, CompactRevision: s.compactedRevision()})
 		return
@@ -185,7 +185,7 @@
 }
 
 // streamWatch sends batches and progress notifications until the watch ends.
-func (s *KV) streamWatch(stream watchWriter, batches <-chan platform.WatchBatch) {
+func (s *KV) streamWatch(stream watchWriter, batches <-chan infra.WatchBatch) {
 	ticker := time.NewTicker(progressInterval)
 	defer ticker.Stop()
 	for {
--- a/internal/fake/kv_lease.go
+++ b/internal/fake/kv_lease.go
@@ -4,16 +4,16 @@
 	"context"
 	"time"
 
-	"github.com/barleylift/barleylift/internal/platform"
+	"github.com/barleylift/barleylift/internal/infra"
 )
 
-// Grant implements platform.KV.
-func (s *KV) Grant(ctx context.Context, ttl time.Duration) (platform.LeaseID, error) {
+// Grant implements infra.KV.
+func (s *KV) Grant(ctx context.Context, ttl time.Duration) (infra.LeaseID, error) {
 	if err := s.admit(ctx, "grant", &s.calls.Grant, writeLimiter); err != nil {
 		return 0, err
 	}
 	if ttl <= 0 {
-		return 0, &platform.Error{Op: "grant", Kind: platform.Refused, Err: errBadTTL}
+		return 0, &infra.Error{Op: "grant", Kind: infra.Refused, Err: errBadTTL}
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -24,13 +24,13 @@
 	s.leases[id] = l
 	if s.faults.loseGrants > 0 {
 		s.faults.loseGrants--
-		return 0, &platform.Error{Op: "grant", Kind: platform.Ambiguous, Err: errLost}
+		return 0, &infra.Error{Op: "grant", Kind: infra.Ambiguous, Err: errLost}
 	}
 	return id, nil
 }
 
-// KeepAlive implements platform.KV.
-func (s *KV) KeepAlive(ctx context.Context, id platform.LeaseID) (time.Duration, error) {
+// KeepAlive implements infra.KV.
+func (s *KV) KeepAlive(ctx context.Context, id infra.LeaseID) (time.Duration, error) {
 	if err := s.admit(ctx, "keepalive", &s.calls.KeepAlive, writeLimiter); err != nil {
 		return 0, err
 	}
@@ -38,7 +38,7 @@
 	defer s.mu.Unlock()
 	l := s.leases[id]
 	if l == nil {
-		return 0, &platform.Error{Op: "keepalive", Kind: platform.LeaseNotFound, Err: errNoLease}
+		return 0, &infra.Error{Op: "keepalive", Kind: infra.LeaseNotFound, Err: errNoLease}
 	}
 	l.extend()
 	return l.ttl, nil
@@ -49,22 +49,22 @@
 	l.timer.Reset(l.ttl)
 }
 
-// Revoke implements platform.KV.
-func (s *KV) Revoke(ctx context.Context, id platform.LeaseID) error {
+// Revoke implements infra.KV.
+func (s *KV) Revoke(ctx context.Context, id infra.LeaseID) error {
 	if err := s.admit(ctx, "revoke", &s.calls.Revoke, writeLimiter); err != nil {
 		return err
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.leases[id] == nil {
-		return &platform.Error{Op: "revoke", Kind: platform.LeaseNotFound, Err: errNoLease}
+		return &infra.Error{Op: "revoke", Kind: infra.LeaseNotFound, Err: errNoLease}
 	}
 	s.endLease(id)
 	return nil
 }
 
 // expire ends a lease whose time has run out; a renewal may have come first.
-func (s *KV) expire(id platform.LeaseID) {
+func (s *KV) expire(id infra.LeaseID) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if l := s.leases[id]; l != nil && !s.faults.frozen && !time.Now().Before(l.ends) {
@@ -73,7 +73,7 @@
 }
 
 // endLease deletes the lease and its keys. The caller holds s.mu.
-func (s *KV) endLease(id platform.LeaseID) {
+func (s *KV) endLease(id infra.LeaseID) {
 	s.leases[id].timer.Stop()
 	delete(s.leases, id)
 	var keys []string
--- a/internal/fake/kv_test.go
+++ b/internal/fake/kv_test.go
@@ -7,22 +7,22 @@
 	"testing/synctest"
 	"time"
 
-	"github.com/barleylift/barleylift/internal/platform"
+	"github.com/barleylift/barleylift/internal/infra"
 )
 
-func kindOf(err error) platform.ErrorKind {
-	var e *platform.Error
+func kindOf(err error) infra.ErrorKind {
+	var e *infra.Error
 	if errors.As(err, &e) {
 		return e.Kind
 	}
 	return -1
 }
 
-func create(key, value string, lease platform.LeaseID) platform.Txn {
-	return platform.Txn{
-		If:   []platform.Compare{platform.Absent(key)},
-		Then: []platform.Op{{Kind: platform.OpPut, Key: key, Value: []byte(value), Lease: lease}},
-		Else: []platform.Op{platform.Read(key)},
+func create(key, value string, lease infra.LeaseID) infra.Txn {
+	return infra.Txn{
+		If:   []infra.Compare{infra.Absent(key)},
+		Then: []infra.Op{{Kind: infra.OpPut, Key: key, Value: []byte(value), Lease: lease}},
+		Else: []infra.Op{infra.Read(key)},
 	}
 }
 
@@ -57,11 +57,11 @@
 		if b := <-watch; !b.Events[0].Deleted || b.Revision != first.Revision+1 {
 			t.Fatalf("expiry: %+v", b)
 		}
-		if _, err := kv.KeepAlive(ctx, lease); kindOf(err) != platform.LeaseNotFound {
+		if _, err := kv.KeepAlive(ctx, lease); kindOf(err) != infra.LeaseNotFound {
 			t.Fatalf("renewal of an ended lease: %v", err)
 		}
 		kv.Compact()
-		if _, err := kv.Watch(ctx, "a/", first.Revision); kindOf(err) != platform.Compacted {
+		if _, err := kv.Watch(ctx, "a/", first.Revision); kindOf(err) != infra.Compacted {
 			t.Fatalf("watch of compacted revisions: %v", err)
 		}
 		kv.SetDown(true)
@@ -74,18 +74,18 @@
 func TestKVFaults(t *testing.T) {
 	kv := NewKV()
 	ctx := context.Background()
-	if _, err := kv.Txn(ctx, create("big", string(make([]byte, maxValueBytes+1)), 0)); kindOf(err) != platform.Refused {
+	if _, err := kv.Txn(ctx, create("big", string(make([]byte, maxValueBytes+1)), 0)); kindOf(err) != infra.Refused {
 		t.Errorf("value over 1 MB: %v", err)
 	}
 	kv.LoseReplies(1, nil)
-	if _, err := kv.Txn(ctx, create("k", "v", 0)); kindOf(err) != platform.Ambiguous {
+	if _, err := kv.Txn(ctx, create("k", "v", 0)); kindOf(err) != infra.Ambiguous {
 		t.Errorf("lost reply: %v", err)
 	}
 	old := kv.Snapshot()
 	if e, err := kv.Get(ctx, "k"); err != nil || string(e.Value) != "v" {
 		t.Errorf("a lost reply must have taken effect: %+v, %v", e, err)
 	}
-	if _, err := kv.Txn(ctx, platform.Txn{Then: []platform.Op{platform.Delete("k")}}); err != nil {
+	if _, err := kv.Txn(ctx, infra.Txn{Then: []infra.Op{infra.Delete("k")}}); err != nil {
 		t.Error(err)
 	}
 	kv.Restore(old)
@@ -96,11 +96,11 @@
 	if _, err := kv.Txn(ctx, create("l", "v", 0)); err != nil {
 		t.Error(err)
 	}
-	if _, err := kv.Txn(ctx, create("m", "v", 0)); kindOf(err) != platform.Unavailable {
+	if _, err := kv.Txn(ctx, create("m", "v", 0)); kindOf(err) != infra.Unavailable {
 		t.Errorf("over the rate: %v", err)
 	}
 	kv.SetDown(true)
-	if _, err := kv.Get(ctx, "k"); kindOf(err) != platform.Unavailable {
+	if _, err := kv.Get(ctx, "k"); kindOf(err) != infra.Unavailable {
 		t.Errorf("down: %v", err)
 	}
 }
--- a/internal/fake/kv_watch.go
+++ b/internal/fake/kv_watch.go
@@ -5,43 +5,43 @@
 	"slices"
 	"strings"
 
-	"github.com/barleylift/barleylift/internal/platform"
+	"github.com/barleylift/barleylift/internal/infra"
 )
 
 // watcher is one waiting watch with an unbounded queue. Its fields are guarded by KV.mu.
 type watcher struct {
 	prefix string
 	from   int64
-	queue  []platform.WatchBatch
+	queue  []infra.WatchBatch
 	wake   chan struct{}
 }
 
-// Watch implements platform.KV.
-func (s *KV) Watch(ctx context.Context, prefix string, from int64) (<-chan platform.WatchBatch, error) {
+// Watch implements infra.KV.
+func (s *KV) Watch(ctx context.Context, prefix string, from int64) (<-chan infra.WatchBatch, error) {
 	if err := s.admit(ctx, "watch", &s.calls.Watch, readLimiter); err != nil {
 		return nil, err
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if from <= s.compacted {
-		return nil, &platform.Error{Op: "watch", Kind: platform.Compacted, Err: errCompacted}
+		return nil, &infra.Error{Op: "watch", Kind: infra.Compacted, Err: errCompacted}
 	}
 	w := &watcher{prefix: prefix, from: from, wake: make(chan struct{}, 1)}
 	for _, batch := range s.history {
 		s.deliver(w, batch)
 	}
 	s.watchers[w] = struct{}{}
-	out := make(chan platform.WatchBatch)
+	out := make(chan infra.WatchBatch)
 	go s.run(ctx, w, out)
 	return out, nil
 }
 
 // deliver queues the matching events for a watch. The caller holds s.mu.
-func (s *KV) deliver(w *watcher, batch platform.WatchBatch) {
+func (s *KV) deliver(w *watcher, batch infra.WatchBatch) {
 	if batch.Revision < w.from || s.faults.stalled {
 		return
 	}
-	var events []platform.WatchEvent
+	var events []infra.WatchEvent
 	for _, e := range batch.Events {
 		if strings.HasPrefix(e.Entry.Key, w.prefix) {
 			e.Entry = clone(e.Entry)
@@ -50,11 +50,11 @@
 		}
 	}
 	if len(events) > 0 {
-		w.push(platform.WatchBatch{Events: events, Revision: batch.Revision})
+		w.push(infra.WatchBatch{Events: events, Revision: batch.Revision})
 	}
 }
 
-func (w *watcher) push(batch platform.WatchBatch) {
+func (w *watcher) push(batch infra.WatchBatch) {
 	w.queue = append(w.queue, batch)
 	select {
 	case w.wake <- struct{}{}:
@@ -63,7 +63,7 @@
 }
 
 // run moves batches from the queue to the channel until the watch breaks or ctx ends.
-func (s *KV) run(ctx context.Context, w *watcher, out chan<- platform.WatchBatch) {
+func (s *KV) run(ctx context.Context, w *watcher, out chan<- infra.WatchBatch) {
 	defer close(out)
 	defer s.forget(w)
 	for {
@@ -85,7 +85,7 @@
 	}
 }
 
-func (s *KV) take(w *watcher) []platform.WatchBatch {
+func (s *KV) take(w *watcher) []infra.WatchBatch {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	queue := w.queue
@@ -109,12 +109,12 @@
 // breakWatches ends all watches. The caller holds s.mu.
 func (s *KV) breakWatches() {
 	for w := range s.watchers {
-		w.push(platform.WatchBatch{Err: &platform.Error{Op: "watch", Kind: platform.Unavailable, Err: errDown}})
+		w.push(infra.WatchBatch{Err: &infra.Error{Op: "watch", Kind: infra.Unavailable, Err: errDown}})
 		delete(s.watchers, w)
 	}
 }
 
 // restoreHistory drops the history after the revision. The caller holds s.mu.
 func (s *KV) restoreHistory(revision int64) {
-	s.history = slices.DeleteFunc(s.history, func(b platform.WatchBatch) bool { return b.Revision > revision })
+	s.history = slices.DeleteFunc(s.history, func(b infra.WatchBatch) bool { return b.Revision > revision })
 }
--- a/internal/fake/vmlist.go
+++ b/internal/fake/vmlist.go
@@ -7,18 +7,18 @@
 	"slices"
 	"sync"
 
-	"github.com/barleylift/barleylift/internal/platform"
+	"github.com/barleylift/barleylift/internal/infra"
 )
 
 // VMList is a stand-in for the platform's list of live and leaving VMs.
 type VMList struct {
 	mu    sync.Mutex // guards the fields below
-	vms   []platform.VM
+	vms   []infra.VM
 	fail  error
 	reads int
 }
 
-var _ platform.VMList = (*VMList)(nil)
+var _ infra.VMList = (*VMList)(nil)
 
 // NewVMList returns an empty list.
 func NewVMList() *VMList {
@@ -26,7 +26,7 @@
 }
 
 // Set replaces the list.
-func (l *VMList) Set(vms ...platform.VM) {
+func (l *VMList) Set(vms ...infra.VM) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.vms = slices.Clone(vms)
@@ -39,8 +39,8 @@
 	l.fail = err
 }
 
-// VMs implements platform.VMList.
-func (l *VMList) VMs(context.Context) ([]platform.VM, error) {
+// VMs implements infra.VMList.
+func (l *VMList) VMs(context.Context) ([]infra.VM, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.reads++
--- /dev/null
+++ b/internal/infra/doc.go
@@ -0,0 +1,3 @@
+// Package infra holds the interfaces of the platform that barleylift runs
+// on (the key-value service, the list of VMs) and the clients that carry them.
+package infra
--- a/internal/platform/etcd.go
+++ b/internal/infra/etcd.go
@@ -1,4 +1,4 @@
-package platform
+package infra
 
 import (
 	"context"
@@ -10,7 +10,7 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/barleylift/barleylift/internal/platform/etcdjson"
+	"github.com/barleylift/barleylift/internal/infra/etcdjson"
 )
 
 const (
--- a/internal/platform/etcd_call.go
+++ b/internal/infra/etcd_call.go
@@ -1,4 +1,4 @@
-package platform
+package infra
 
 import (
 	"bytes"
@@ -10,7 +10,7 @@
 	"net/http"
 	"sync/atomic"
 
-	"github.com/barleylift/barleylift/internal/platform/etcdjson"
+	"github.com/barleylift/barleylift/internal/infra/etcdjson"
 )
 
 // operation names a call. A write changes the service's state; a repeatable
--- a/internal/platform/etcd_convert.go
+++ b/internal/infra/etcd_convert.go
@@ -1,9 +1,9 @@
-package platform
+package infra
 
 import (
 	"errors"
 
-	"github.com/barleylift/barleylift/internal/platform/etcdjson"
+	"github.com/barleylift/barleylift/internal/infra/etcdjson"
 )
 
 func entryOf(kv etcdjson.KeyValue) Entry {
--- a/internal/platform/etcd_test.go
+++ b/internal/infra/etcd_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package infra_test
 
 import (
 	"context"
@@ -16,37 +16,37 @@
 	"time"
 
 	"github.com/barleylift/barleylift/internal/fake"
-	"github.com/barleylift/barleylift/internal/platform"
-	"github.com/barleylift/barleylift/internal/platform/etcdjson"
+	"github.com/barleylift/barleylift/internal/infra"
+	"github.com/barleylift/barleylift/internal/infra/etcdjson"
 )
 
-const noError platform.ErrorKind = -1
+const noError infra.ErrorKind = -1
 
-func kindOf(err error) platform.ErrorKind {
-	var e *platform.Error
+func kindOf(err error) infra.ErrorKind {
+	var e *infra.Error
 	if errors.As(err, &e) {
 		return e.Kind
 	}
 	return noError
 }
 
-func newEtcdKV(t *testing.T, config platform.EtcdConfig) *platform.EtcdKV {
+func newEtcdKV(t *testing.T, config infra.EtcdConfig) *infra.EtcdKV {
 	t.Helper()
 	if config.Timeout == 0 {
 		config.Timeout = time.Minute
 	}
-	kv, err := platform.NewEtcdKV(config)
+	kv, err := infra.NewEtcdKV(config)
 	if err != nil {
 		t.Fatal(err)
 	}
 	return kv
 }
 
-func create(key, value string, lease platform.LeaseID) platform.Txn {
-	return platform.Txn{
-		If:   []platform.Compare{platform.Absent(key)},
-		Then: []platform.Op{{Kind: platform.OpPut, Key: key, Value: []byte(value), Lease: lease}},
-		Else: []platform.Op{platform.Read(key)},
+func create(key, value string, lease infra.LeaseID) infra.Txn {
+	return infra.Txn{
+		If:   []infra.Compare{infra.Absent(key)},
+		Then: []infra.Op{{Kind: infra.OpPut, Key: key, Value: []byte(value), Lease: lease}},
+		Else: []infra.Op{infra.Read(key)},
 	}
 }
 
@@ -56,7 +56,7 @@
 	service := fake.NewKV()
 	server := httptest.NewServer(service.Handler())
 	defer server.Close()
-	kv := newEtcdKV(t, platform.EtcdConfig{Endpoints: []string{server.URL + "/"}})
+	kv := newEtcdKV(t, infra.EtcdConfig{Endpoints: []string{server.URL + "/"}})
 	ctx := t.Context()
 
 	lease, err := kv.Grant(ctx, 1500*time.Millisecond)
@@ -85,10 +85,10 @@
 		t.Fatalf("absent key: %+v, %v", e, err)
 	}
 	checkWatch(t, kv, lease)
-	if _, err := kv.KeepAlive(ctx, lease); kindOf(err) != platform.LeaseNotFound {
+	if _, err := kv.KeepAlive(ctx, lease); kindOf(err) != infra.LeaseNotFound {
 		t.Fatalf("renewal of a revoked lease: %v", err)
 	}
-	if _, err := kv.Txn(ctx, create("a/3", "z", lease)); kindOf(err) != platform.LeaseNotFound {
+	if _, err := kv.Txn(ctx, create("a/3", "z", lease)); kindOf(err) != infra.LeaseNotFound {
 		t.Fatalf("put with a revoked lease: %v", err)
 	}
 	service.Compact()
@@ -96,7 +96,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if b := <-batches; kindOf(b.Err) != platform.Compacted {
+	if b := <-batches; kindOf(b.Err) != infra.Compacted {
 		t.Fatalf("watch of compacted revisions: %+v", b)
 	}
 	if _, open := <-batches; open {
@@ -105,7 +105,7 @@
 }
 
 // checkWatch reads the history from revision 2 and then the keys' end by revocation.
-func checkWatch(t *testing.T, kv platform.KV, lease platform.LeaseID) {
+func checkWatch(t *testing.T, kv infra.KV, lease infra.LeaseID) {
 	t.Helper()
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
@@ -160,30 +160,30 @@
 	for _, tc := range []struct {
 		name    string
 		handler http.HandlerFunc
-		write   platform.ErrorKind
-		read    platform.ErrorKind
+		write   infra.ErrorKind
+		read    infra.ErrorKind
 	}{
-		{"request read, connection closed", readThen(hangUp), platform.Ambiguous, platform.Unavailable},
-		{"answer cut", text(`{"header":{"revision":"7"},"succ`), platform.Ambiguous, platform.Unavailable},
-		{"answer without operations", text(`{"header":{}}`), platform.Ambiguous, noError},
-		{"no leader", reply(503, 14, "etcdserver: no leader"), platform.Unavailable, platform.Unavailable},
-		{"timed out after proposing", reply(503, 14, "etcdserver: request timed out"), platform.Ambiguous, platform.Unavailable},
-		{"leader changed", reply(503, 14, "etcdserver: leader changed"), platform.Ambiguous, platform.Unavailable},
-		{"gateway without a body", reply(502, 0, ""), platform.Ambiguous, platform.Unavailable},
-		{"too many requests", reply(429, 8, "etcdserver: too many requests"), platform.Unavailable, platform.Unavailable},
-		{"no space", reply(429, 8, "etcdserver: mvcc: database space exceeded"), platform.Unavailable, platform.Unavailable},
-		{"invalid", reply(400, 3, "etcdserver: duplicate key given in txn request"), platform.Refused, platform.Refused},
-		{"lease not found", reply(404, 5, "etcdserver: requested lease not found"), platform.LeaseNotFound, platform.LeaseNotFound},
+		{"request read, connection closed", readThen(hangUp), infra.Ambiguous, infra.Unavailable},
+		{"answer cut", text(`{"header":{"revision":"7"},"succ`), infra.Ambiguous, infra.Unavailable},
+		{"answer without operations", text(`{"header":{}}`), infra.Ambiguous, noError},
+		{"no leader", reply(503, 14, "etcdserver: no leader"), infra.Unavailable, infra.Unavailable},
+		{"timed out after proposing", reply(503, 14, "etcdserver: request timed out"), infra.Ambiguous, infra.Unavailable},
+		{"leader changed", reply(503, 14, "etcdserver: leader changed"), infra.Ambiguous, infra.Unavailable},
+		{"gateway without a body", reply(502, 0, ""), infra.Ambiguous, infra.Unavailable},
+		{"too many requests", reply(429, 8, "etcdserver: too many requests"), infra.Unavailable, infra.Unavailable},
+		{"no space", reply(429, 8, "etcdserver: mvcc: database space exceeded"), infra.Unavailable, infra.Unavailable},
+		{"invalid", reply(400, 3, "etcdserver: duplicate key given in txn request"), infra.Refused, infra.Refused},
+		{"lease not found", reply(404, 5, "etcdserver: requested lease not found"), infra.LeaseNotFound, infra.LeaseNotFound},
 		{"redirect", readThen(func(w http.ResponseWriter, r *http.Request) {
 			http.Redirect(w, r, r.URL.Path, http.StatusTemporaryRedirect)
 		}),
-			platform.Ambiguous, platform.Unavailable},
+			infra.Ambiguous, infra.Unavailable},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			var received atomic.Int64
 			server := httptest.NewServer(countOf(&received, tc.handler))
 			defer server.Close()
-			kv := newEtcdKV(t, platform.EtcdConfig{Endpoints: []string{server.URL}})
+			kv := newEtcdKV(t, infra.EtcdConfig{Endpoints: []string{server.URL}})
 			_, err := kv.Txn(t.Context(), create("k", "v", 0))
 			if kindOf(err) != tc.write {
 				t.Errorf("txn: got %v, want %v", err, tc.write)
@@ -226,12 +226,12 @@
 	}
 	server.Start()
 	defer server.Close()
-	kv := newEtcdKV(t, platform.EtcdConfig{Endpoints: []string{server.URL}})
+	kv := newEtcdKV(t, infra.EtcdConfig{Endpoints: []string{server.URL}})
 	if _, err := kv.Get(t.Context(), "k"); err != nil {
 		t.Fatal(err)
 	}
 	_, err := kv.Txn(t.Context(), create("k", "v", 0))
-	if kindOf(err) != platform.Ambiguous || transactions.Load() != 1 || connections.Load() != 1 {
+	if kindOf(err) != infra.Ambiguous || transactions.Load() != 1 || connections.Load() != 1 {
 		t.Errorf("got %v after %d transactions on %d connections, want ambiguous after 1 on 1",
 			err, transactions.Load(), connections.Load())
 	}
@@ -254,14 +254,14 @@
 	for _, tc := range []struct {
 		name  string
 		first string
-		write platform.ErrorKind
+		write infra.ErrorKind
 	}{
 		{"dial refused", closed.URL, noError},
-		{"connection cut", cutting.URL, platform.Ambiguous},
+		{"connection cut", cutting.URL, infra.Ambiguous},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			var observed []string
-			config := platform.EtcdConfig{Endpoints: []string{tc.first, good.URL}}
+			config := infra.EtcdConfig{Endpoints: []string{tc.first, good.URL}}
 			config.Observe = func(kind, result string) { observed = append(observed, kind+" "+result) }
 			kv := newEtcdKV(t, config)
 			_, err := kv.Txn(t.Context(), create("k", "v", 0))
@@ -285,8 +285,8 @@
 	}
 	ended, cancel := context.WithCancel(t.Context())
 	cancel()
-	kv := newEtcdKV(t, platform.EtcdConfig{Endpoints: []string{good.URL}})
-	if _, err := kv.Txn(ended, create("k", "v", 0)); kindOf(err) != platform.Unavailable {
+	kv := newEtcdKV(t, infra.EtcdConfig{Endpoints: []string{good.URL}})
+	if _, err := kv.Txn(ended, create("k", "v", 0)); kindOf(err) != infra.Unavailable {
 		t.Errorf("context ended before dialing: %v", err)
 	}
 }
@@ -300,17 +300,17 @@
 		_, _ = io.WriteString(w, `{"header":{"cluster_id":"1","revision":"12"},"succeeded":true,"responses":[{"response_put":{"header":{"revision":"12"}}},{"response_range":{"kvs":[{"key":"Zm9v","create_revision":"2","mod_revision":"6","version":"5","value":"YmFy"}],"count":"1"}}]}`)
 	}))
 	defer server.Close()
-	kv := newEtcdKV(t, platform.EtcdConfig{Endpoints: []string{server.URL}})
-	result, err := kv.Txn(t.Context(), platform.Txn{
-		If:   []platform.Compare{platform.Absent("foo"), platform.ModifiedAt("foo", 9)},
-		Then: []platform.Op{{Kind: platform.OpPut, Key: "foo", Value: []byte("bar"), Lease: 5}, platform.Read("foo")},
-		Else: []platform.Op{{Kind: platform.OpDelete, Key: "p/", Prefix: true}},
+	kv := newEtcdKV(t, infra.EtcdConfig{Endpoints: []string{server.URL}})
+	result, err := kv.Txn(t.Context(), infra.Txn{
+		If:   []infra.Compare{infra.Absent("foo"), infra.ModifiedAt("foo", 9)},
+		Then: []infra.Op{{Kind: infra.OpPut, Key: "foo", Value: []byte("bar"), Lease: 5}, infra.Read("foo")},
+		Else: []infra.Op{{Kind: infra.OpDelete, Key: "p/", Prefix: true}},
 	})
 	want := `{"compare":[{"result":"EQUAL","target":"CREATE","key":"Zm9v","create_revision":"0"},{"result":"EQUAL","target":"MOD","key":"Zm9v","mod_revision":"9"}],"success":[{"request_put":{"key":"Zm9v","value":"YmFy","lease":"5"}},{"request_range":{"key":"Zm9v"}}],"failure":[{"request_delete_range":{"key":"cC8=","range_end":"cDA="}}]}`
 	if got != want {
 		t.Errorf("sent\n%s\nwant\n%s", got, want)
 	}
-	wantEntry := platform.Entry{Key: "foo", Value: []byte("bar"), CreateRevision: 2, ModRevision: 6}
+	wantEntry := infra.Entry{Key: "foo", Value: []byte("bar"), CreateRevision: 2, ModRevision: 6}
 	if err != nil || result.Revision != 12 || string(result.Reads[1][0].Value) != "bar" || result.Reads[1][0].ModRevision != wantEntry.ModRevision {
 		t.Errorf("read %+v, %v", result, err)
 	}
@@ -349,7 +349,7 @@
 		server := &http.Server{Handler: service.Handler()}
 		go func() { _ = server.Serve(listener) }()
 		transport := &http.Transport{DialContext: listener.dial}
-		kv := newEtcdKV(t, platform.EtcdConfig{Endpoints: []string{"http://kv"}, Client: &http.Client{Transport: transport}})
+		kv := newEtcdKV(t, infra.EtcdConfig{Endpoints: []string{"http://kv"}, Client: &http.Client{Transport: transport}})
 		batches, err := kv.Watch(t.Context(), "a/", 1)
 		if err != nil {
 			t.Fatal(err)
@@ -362,10 +362,10 @@
 		stalled := time.Now()
 		service.StallWatches(true)
 		b := <-batches
-		if kindOf(b.Err) != platform.Unavailable || !strings.Contains(b.Err.Error(), "silent") {
+		if kindOf(b.Err) != infra.Unavailable || !strings.Contains(b.Err.Error(), "silent") {
 			t.Errorf("got %+v", b)
 		}
-		if waited := time.Since(stalled); waited > platform.DefaultWatchSilence {
+		if waited := time.Since(stalled); waited > infra.DefaultWatchSilence {
 			t.Errorf("a silent watch broke after %v", waited)
 		}
 		transport.CloseIdleConnections()
@@ -375,21 +375,21 @@
 
 func TestVMListClient(t *testing.T) {
 	list := fake.NewVMList()
-	want := []platform.VM{
-		{Address: "10.0.0.1:8000", Zone: "kakkanad", State: platform.VMLive},
-		{Address: "10.0.0.2:8000", Zone: "vyttila", State: platform.VMLeaving},
+	want := []infra.VM{
+		{Address: "10.0.0.1:8000", Zone: "kakkanad", State: infra.VMLive},
+		{Address: "10.0.0.2:8000", Zone: "vyttila", State: infra.VMLeaving},
 	}
 	list.Set(want...)
 	server := httptest.NewServer(list.Handler())
 	defer server.Close()
-	client, err := platform.NewVMListClient(server.URL, nil)
+	client, err := infra.NewVMListClient(server.URL, nil)
 	if err != nil {
 		t.Fatal(err)
 	}
 	if got, err := client.VMs(t.Context()); err != nil || !slices.Equal(got, want) {
 		t.Errorf("got %v, %v", got, err)
 	}
-	list.Set(platform.VM{Address: "10.0.0.1:8000", State: "gone"})
+	list.Set(infra.VM{Address: "10.0.0.1:8000", State: "gone"})
 	if got, err := client.VMs(t.Context()); err == nil {
 		t.Errorf("an unknown state must fail, got %v", got)
 	}
--- a/internal/platform/etcd_watch.go
+++ b/internal/infra/etcd_watch.go
@@ -1,4 +1,4 @@
-package platform
+package infra
 
 import (
 	"context"
@@ -9,7 +9,7 @@
 	"net/http"
 	"time"
 
-	"github.com/barleylift/barleylift/internal/platform/etcdjson"
+	"github.com/barleylift/barleylift/internal/infra/etcdjson"
 )
 
 var (
--- a/internal/platform/vmlist.go
+++ b/internal/infra/vmlist.go
@@ -1,4 +1,4 @@
-package platform
+package infra
 
 import "context"
 
--- a/internal/owner/config.go
+++ b/internal/owner/config.go
@@ -7,9 +7,9 @@
 	"time"
 
 	"github.com/barleylift/barleylift/internal/catalog"
+	"github.com/barleylift/barleylift/internal/infra"
 	"github.com/barleylift/barleylift/internal/metrics"
 	"github.com/barleylift/barleylift/internal/ownership"
-	"github.com/barleylift/barleylift/internal/platform"
 	"github.com/barleylift/barleylift/internal/queue"
 	"github.com/barleylift/barleylift/internal/upstream"
 )
@@ -26,7 +26,7 @@
 
 // Config configures a Pool.
 type Config struct {
-	KV   platform.KV
+	KV   infra.KV
 	View ownership.View
 	// Permits hands out load permits; nil loads without.
 	Permits Permits
--- a/internal/owner/fault_test.go
+++ b/internal/owner/fault_test.go
@@ -11,7 +11,7 @@
 
 	"github.com/barleylift/barleylift/internal/call"
 	"github.com/barleylift/barleylift/internal/fake"
-	"github.com/barleylift/barleylift/internal/platform"
+	"github.com/barleylift/barleylift/internal/infra"
 )
 
 // inBubble runs a test for engines that check fencing tokens and for others.
@@ -222,7 +222,7 @@
 		go func() { waiting <- d.Run(t.Context(), modelCall("b@v1", 5), &collector{}) }()
 		synctest.Wait()
 		began := time.Now()
-		d.ApplyVMs([]platform.VM{{Address: "engine", State: platform.VMLeaving}})
+		d.ApplyVMs([]infra.VM{{Address: "engine", State: infra.VMLeaving}})
 		for _, got := range []call.Result{<-waiting, d.Run(t.Context(), modelCall("a@v1", 5), &collector{})} {
 			if got.Outcome != call.NotRun || got.Code != call.CodeNoUpstream || got.RetryAfter <= 0 {
 				t.Errorf("call for a leaving engine: %v", got)
--- a/internal/owner/pool.go
+++ b/internal/owner/pool.go
@@ -8,9 +8,9 @@
 
 	"github.com/barleylift/barleylift/internal/call"
 	"github.com/barleylift/barleylift/internal/catalog"
+	"github.com/barleylift/barleylift/internal/infra"
 	"github.com/barleylift/barleylift/internal/ownership"
 	"github.com/barleylift/barleylift/internal/placement"
-	"github.com/barleylift/barleylift/internal/platform"
 )
 
 // Pool runs the engines that this daemon owns. It is safe for concurrent use.
@@ -227,14 +227,14 @@
 
 // ApplyVMs takes the platform's list of VMs: engines on leaving VMs get
 // nothing new, and predecessors that it no longer lists are gone.
-func (p *Pool) ApplyVMs(vms []platform.VM) {
+func (p *Pool) ApplyVMs(vms []infra.VM) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.vms = vmView{addresses: make(map[string]bool, len(vms)), at: time.Now()}
 	clear(p.leaving)
 	for _, vm := range vms {
 		p.vms.addresses[vm.Address] = true
-		if vm.State == platform.VMLeaving {
+		if vm.State == infra.VMLeaving {
 			p.leaving[hostOf(vm.Address)] = true
 		}
 	}
--- a/internal/owner/pool_test.go
+++ b/internal/owner/pool_test.go
@@ -12,9 +12,9 @@
 	"github.com/barleylift/barleylift/internal/call"
 	"github.com/barleylift/barleylift/internal/catalog"
 	"github.com/barleylift/barleylift/internal/fake"
+	"github.com/barleylift/barleylift/internal/infra"
 	"github.com/barleylift/barleylift/internal/metrics"
 	"github.com/barleylift/barleylift/internal/ownership"
-	"github.com/barleylift/barleylift/internal/platform"
 	"github.com/barleylift/barleylift/internal/profile"
 	"github.com/barleylift/barleylift/internal/upstream"
 	"github.com/prometheus/client_golang/prometheus"
@@ -153,12 +153,12 @@
 
 // gain writes the owner key as the daemon's and tells its pool.
 func (d *daemon) gain() {
-	key := platform.Put(defaultOwnerKey(engineName), []byte(d.view.self.Name))
+	key := infra.Put(defaultOwnerKey(engineName), []byte(d.view.self.Name))
 	ctx := context.Background()
-	if _, err := d.rig.kv.Txn(ctx, platform.Txn{Then: []platform.Op{platform.Delete(key.Key)}}); err != nil {
+	if _, err := d.rig.kv.Txn(ctx, infra.Txn{Then: []infra.Op{infra.Delete(key.Key)}}); err != nil {
 		d.rig.t.Fatal(err)
 	}
-	result, err := d.rig.kv.Txn(ctx, platform.Txn{Then: []platform.Op{key}})
+	result, err := d.rig.kv.Txn(ctx, infra.Txn{Then: []infra.Op{key}})
 	if err != nil {
 		d.rig.t.Fatal(err)
 	}
--- a/internal/owner/record.go
+++ b/internal/owner/record.go
@@ -10,8 +10,8 @@
 
 	"github.com/barleylift/barleylift/internal/call"
 	"github.com/barleylift/barleylift/internal/engine"
+	"github.com/barleylift/barleylift/internal/infra"
 	"github.com/barleylift/barleylift/internal/ownership"
-	"github.com/barleylift/barleylift/internal/platform"
 )
 
 // maxRecordAttempts bounds how often one change of a record is tried anew
@@ -80,7 +80,7 @@
 
 // updateRecord applies a change to the record by compare-and-swap. The change
 // must be idempotent and returns false when there is nothing to do.
-func (t *tenure) updateRecord(ctx context.Context, guards []platform.Compare, change func(*tenureRecord) bool) error {
+func (t *tenure) updateRecord(ctx context.Context, guards []infra.Compare, change func(*tenureRecord) bool) error {
 	select {
 	case t.record.turn <- struct{}{}:
 		defer func() { <-t.record.turn }()
@@ -141,31 +141,31 @@
 
 // writeRecord swaps the record. It returns false without an error when the
 // record has to be read again first.
-func (t *tenure) writeRecord(ctx context.Context, guards []platform.Compare, record tenureRecord, revision int64) (bool, error) {
+func (t *tenure) writeRecord(ctx context.Context, guards []infra.Compare, record tenureRecord, revision int64) (bool, error) {
 	value, err := json.Marshal(record)
 	if err != nil {
 		panic("owner: marshal record: " + err.Error())
 	}
 	key := IntentKey(t.name)
-	result, err := t.pool.config.KV.Txn(ctx, platform.Txn{
-		If:   append([]platform.Compare{platform.ModifiedAt(key, revision)}, guards...),
-		Then: []platform.Op{platform.Put(key, value)},
+	result, err := t.pool.config.KV.Txn(ctx, infra.Txn{
+		If:   append([]infra.Compare{infra.ModifiedAt(key, revision)}, guards...),
+		Then: []infra.Op{infra.Put(key, value)},
 	})
 	if err == nil && result.Succeeded {
 		t.cacheRecord(record, result.Revision)
 		return true, nil
 	}
 	t.dropRecordCache()
-	var failed *platform.Error
-	if errors.As(err, &failed) && failed.Kind == platform.Ambiguous {
+	var failed *infra.Error
+	if errors.As(err, &failed) && failed.Kind == infra.Ambiguous {
 		return false, nil
 	}
 	return false, err
 }
 
 // guard is the condition that this tenure still holds the owner key.
-func (t *tenure) guard() []platform.Compare {
-	return []platform.Compare{platform.CreatedAt(t.pool.config.OwnerKey(t.name), int64(t.token))}
+func (t *tenure) guard() []infra.Compare {
+	return []infra.Compare{infra.CreatedAt(t.pool.config.OwnerKey(t.name), int64(t.token))}
 }
 
 // writeIntent records an unload before it is sent.
--- a/internal/owner/takeover_test.go
+++ b/internal/owner/takeover_test.go
@@ -10,7 +10,7 @@
 	"time"
 
 	"github.com/barleylift/barleylift/internal/call"
-	"github.com/barleylift/barleylift/internal/platform"
+	"github.com/barleylift/barleylift/internal/infra"
 )
 
 // pause holds up the requests of one daemon whose path contains a text, once
@@ -168,7 +168,7 @@
 				t.Errorf("%s: %v", why, got)
 			}
 		}
-		both := []platform.VM{{Address: "d1:1"}, {Address: "d2:1"}}
+		both := []infra.VM{{Address: "d1:1"}, {Address: "d2:1"}}
 		time.Sleep(2 * defaultVMListLag)
 		successor.ApplyVMs(both)
 		refused("predecessor is a member")
--- a/internal/ownership/announce.go
+++ b/internal/ownership/announce.go
@@ -5,14 +5,14 @@
 	"time"
 
 	"github.com/barleylift/barleylift/internal/clock"
-	"github.com/barleylift/barleylift/internal/platform"
+	"github.com/barleylift/barleylift/internal/infra"
 )
 
 // announcement is one attempt to create the member key under a new lease,
 // together with the owner keys that the daemon held before, if nobody has
 // taken them.
 type announcement struct {
-	lease  platform.LeaseID
+	lease  infra.LeaseID
 	sent   instant
 	before []Resource
 	settle time.Duration
@@ -47,7 +47,7 @@
 				continue
 			}
 			m.log.Warn("member key is taken; waiting for its lease to end", "name", self.Name)
-		case errorKind(err) == platform.LeaseNotFound || ctx.Err() != nil:
+		case errorKind(err) == infra.LeaseNotFound || ctx.Err() != nil:
 			return false
 		default:
 			m.log.Warn("not announced", "err", err)
@@ -69,10 +69,10 @@
 	if err == nil {
 		a.sent = sent
 	}
-	return err == nil || errorKind(err) != platform.LeaseNotFound
+	return err == nil || errorKind(err) != infra.LeaseNotFound
 }
 
-func stillFree(resources []Resource, reads [][]platform.Entry) []Resource {
+func stillFree(resources []Resource, reads [][]infra.Entry) []Resource {
 	var free []Resource
 	for i, r := range resources {
 		if !firstOf(reads[i]).Exists() {
@@ -84,7 +84,7 @@
 
 // begin starts the incarnation. The reads tell which owner keys were created
 // with the member key, if that is known from a read; else all of them were.
-func (m *Manager) begin(a announcement, revision int64, reads [][]platform.Entry) {
+func (m *Manager) begin(a announcement, revision int64, reads [][]infra.Entry) {
 	m.update(func(now time.Time) {
 		m.validity = validity{}.renewed(a.sent, m.config.LeaseTTL, m.config.Margin)
 		m.memberLost = false
@@ -136,11 +136,11 @@
 		}
 		self := m.Self()
 		key := memberKey(self.Name)
-		_, err := m.config.KV.Txn(ctx, platform.Txn{
-			If:   []platform.Compare{platform.CreatedAt(key, revision)},
-			Then: []platform.Op{{Kind: platform.OpPut, Key: key, Value: encode(self), Lease: lease}},
+		_, err := m.config.KV.Txn(ctx, infra.Txn{
+			If:   []infra.Compare{infra.CreatedAt(key, revision)},
+			Then: []infra.Op{{Kind: infra.OpPut, Key: key, Value: encode(self), Lease: lease}},
 		})
-		if err == nil || errorKind(err) == platform.LeaseNotFound {
+		if err == nil || errorKind(err) == infra.LeaseNotFound {
 			return nil
 		}
 		if !clock.Sleep(ctx, m.backoff(failures)) {
--- a/internal/ownership/config.go
+++ b/internal/ownership/config.go
@@ -6,7 +6,7 @@
 	"strings"
 	"time"
 
-	"github.com/barleylift/barleylift/internal/platform"
+	"github.com/barleylift/barleylift/internal/infra"
 )
 
 // The defaults of a Config.
@@ -25,7 +25,7 @@
 
 // Config configures a Manager. Zero durations and sizes mean the defaults.
 type Config struct {
-	KV   platform.KV
+	KV   infra.KV
 	Self Member
 	// LeaseTTL is the time to live of the daemon's lease, in whole seconds.
 	LeaseTTL time.Duration
--- a/internal/ownership/fleet_test.go
+++ b/internal/ownership/fleet_test.go
@@ -16,7 +16,7 @@
 
 	"github.com/barleylift/barleylift/internal/clock"
 	"github.com/barleylift/barleylift/internal/fake"
-	"github.com/barleylift/barleylift/internal/platform"
+	"github.com/barleylift/barleylift/internal/infra"
 )
 
 // fleetSizes are the numbers of daemons that TestFleetCost runs.
@@ -39,7 +39,7 @@
 
 // cuttable is a connection to the service that can be cut for one daemon.
 type cuttable struct {
-	platform.KV
+	infra.KV
 	mu      sync.Mutex // guards the fields below
 	cut     bool
 	refuse  string        // prefix whose reads fail
@@ -48,7 +48,7 @@
 	watches []context.CancelFunc
 }
 
-var errCut = &platform.Error{Op: "any", Kind: platform.Unavailable, Err: errors.New("connection is cut")}
+var errCut = &infra.Error{Op: "any", Kind: infra.Unavailable, Err: errors.New("connection is cut")}
 
 func (c *cuttable) set(cut bool) {
 	c.mu.Lock()
@@ -78,35 +78,35 @@
 	return c.blind != "" && c.blind == prefix
 }
 
-func (c *cuttable) Range(ctx context.Context, prefix string) (platform.RangeResult, error) {
+func (c *cuttable) Range(ctx context.Context, prefix string) (infra.RangeResult, error) {
 	if c.isCut() || (c.refuse != "" && strings.HasPrefix(prefix, c.refuse)) {
-		return platform.RangeResult{}, errCut
+		return infra.RangeResult{}, errCut
 	}
 	return c.KV.Range(ctx, prefix)
 }
 
-func (c *cuttable) Txn(ctx context.Context, txn platform.Txn) (platform.TxnResult, error) {
+func (c *cuttable) Txn(ctx context.Context, txn infra.Txn) (infra.TxnResult, error) {
 	if c.isCut() {
-		return platform.TxnResult{}, errCut
+		return infra.TxnResult{}, errCut
 	}
 	return c.KV.Txn(ctx, txn)
 }
 
-func (c *cuttable) Grant(ctx context.Context, ttl time.Duration) (platform.LeaseID, error) {
+func (c *cuttable) Grant(ctx context.Context, ttl time.Duration) (infra.LeaseID, error) {
 	if c.isCut() {
 		return 0, errCut
 	}
 	return c.KV.Grant(ctx, ttl)
 }
 
-func (c *cuttable) KeepAlive(ctx context.Context, lease platform.LeaseID) (time.Duration, error) {
+func (c *cuttable) KeepAlive(ctx context.Context, lease infra.LeaseID) (time.Duration, error) {
 	if c.isCut() {
 		return 0, errCut
 	}
 	return c.KV.KeepAlive(ctx, lease)
 }
 
-func (c *cuttable) Watch(ctx context.Context, prefix string, from int64) (<-chan platform.WatchBatch, error) {
+func (c *cuttable) Watch(ctx context.Context, prefix string, from int64) (<-chan infra.WatchBatch, error) {
 	if c.isCut() || c.isBlind(prefix) {
 		return nil, errCut
 	}
@@ -119,7 +119,7 @@
 	if lag == 0 || err != nil {
 		return batches, err
 	}
-	late := make(chan platform.WatchBatch)
+	late := make(chan infra.WatchBatch)
 	go func() {
 		defer close(late)
 		clock.Sleep(ctx, lag)
--- a/internal/ownership/follow.go
+++ b/internal/ownership/follow.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"github.com/barleylift/barleylift/internal/clock"
-	"github.com/barleylift/barleylift/internal/platform"
+	"github.com/barleylift/barleylift/internal/infra"
 )
 
 // feed is one prefix that the Manager keeps a copy of.
@@ -17,9 +17,9 @@
 	// none. It is guarded by Manager.mu.
 	since *time.Time
 	// reset takes the whole prefix; since is the state when the read was sent.
-	reset func(now time.Time, r platform.RangeResult, since readMark)
+	reset func(now time.Time, r infra.RangeResult, since readMark)
 	// apply takes one change.
-	apply func(now time.Time, e platform.WatchEvent)
+	apply func(now time.Time, e infra.WatchEvent)
 }
 
 // readMark is the state of the table at the moment when a read was sent.
@@ -58,7 +58,7 @@
 		if err == nil {
 			continue
 		}
-		if errorKind(err) == platform.Compacted {
+		if errorKind(err) == infra.Compacted {
 			c.next = 0
 		}
 		delay := m.backoff(failures)
@@ -159,7 +159,7 @@
 }
 
 // resetMembers takes the member list. The caller holds m.mu.
-func (m *Manager) resetMembers(now time.Time, r platform.RangeResult, since readMark) {
+func (m *Manager) resetMembers(now time.Time, r infra.RangeResult, since readMark) {
 	members := make(map[string]seenMember, len(r.Entries))
 	for _, e := range r.Entries {
 		member, err := parseMember(e)
@@ -185,7 +185,7 @@
 }
 
 // applyMember takes one change of the members. The caller holds m.mu.
-func (m *Manager) applyMember(now time.Time, e platform.WatchEvent) {
+func (m *Manager) applyMember(now time.Time, e infra.WatchEvent) {
 	name := strings.TrimPrefix(e.Entry.Key, membersPrefix)
 	if e.Deleted {
 		m.table.removeMember(now, name)
@@ -206,7 +206,7 @@
 }
 
 // resetOwners takes all owner keys. The caller holds m.mu.
-func (m *Manager) resetOwners(now time.Time, r platform.RangeResult, since readMark) {
+func (m *Manager) resetOwners(now time.Time, r infra.RangeResult, since readMark) {
 	keys := make([]seenKey, 0, len(r.Entries))
 	for _, e := range r.Entries {
 		key, err := parseOwner(e)
@@ -220,7 +220,7 @@
 }
 
 // applyOwner takes one change of the owners. The caller holds m.mu.
-func (m *Manager) applyOwner(now time.Time, e platform.WatchEvent) {
+func (m *Manager) applyOwner(now time.Time, e infra.WatchEvent) {
 	if e.Deleted {
 		if key, ok := parseOwnerKey(e.Entry.Key); ok {
 			m.table.seeOwner(now, seenKey{key: key, deleted: true, modified: e.Entry.ModRevision})
--- a/internal/ownership/keys.go
+++ b/internal/ownership/keys.go
@@ -5,7 +5,7 @@
 	"fmt"
 	"strings"
 
-	"github.com/barleylift/barleylift/internal/platform"
+	"github.com/barleylift/barleylift/internal/infra"
 )
 
 // The prefixes of the keys in the key-value service: members/<name> and
@@ -23,7 +23,7 @@
 	return ownersPrefix + string(k.kind) + "/" + k.id
 }
 
-func parseMember(e platform.Entry) (seenMember, error) {
+func parseMember(e infra.Entry) (seenMember, error) {
 	var m Member
 	if err := json.Unmarshal(e.Value, &m); err != nil {
 		return seenMember{}, fmt.Errorf("member key %s: %w", e.Key, err)
@@ -38,7 +38,7 @@
 	return resourceKey{Kind(kind), id}, ok && kind != "" && id != ""
 }
 
-func parseOwner(e platform.Entry) (seenKey, error) {
+func parseOwner(e infra.Entry) (seenKey, error) {
 	key, ok := parseOwnerKey(e.Key)
 	if !ok {
 		return seenKey{}, fmt.Errorf("owner key %s: want kind and identifier", e.Key)
--- a/internal/ownership/lease.go
+++ b/internal/ownership/lease.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"github.com/barleylift/barleylift/internal/clock"
-	"github.com/barleylift/barleylift/internal/platform"
+	"github.com/barleylift/barleylift/internal/infra"
 )
 
 // writesPerComeback is the number of writes with which a daemon comes back: a
@@ -56,7 +56,7 @@
 
 // establish gets a lease and announces the daemon under it. It reports false
 // when ctx ended.
-func (m *Manager) establish(ctx context.Context, before []Resource, settle time.Duration) (platform.LeaseID, bool) {
+func (m *Manager) establish(ctx context.Context, before []Resource, settle time.Duration) (infra.LeaseID, bool) {
 	for failures := 0; ; failures++ {
 		sent := m.instant()
 		lease, err := m.config.KV.Grant(ctx, m.config.LeaseTTL)
@@ -77,7 +77,7 @@
 
 // renew renews the lease until it has ended or ctx ends. While the service
 // does not answer, the lease counts as not valid, but it has not ended.
-func (m *Manager) renew(ctx context.Context, lease platform.LeaseID) {
+func (m *Manager) renew(ctx context.Context, lease infra.LeaseID) {
 	failures := 0
 	wait := m.renewalWait()
 	for {
@@ -95,7 +95,7 @@
 		case err == nil:
 			failures = 0
 			wait = m.renewalWait()
-		case errorKind(err) == platform.LeaseNotFound:
+		case errorKind(err) == infra.LeaseNotFound:
 			return
 		default:
 			m.log.Warn("lease not renewed", "err", err)
@@ -116,7 +116,7 @@
 	return m.between(m.config.RenewEvery, m.config.RenewEvery*11/10)
 }
 
-func (m *Manager) renewOnce(ctx context.Context, lease platform.LeaseID) error {
+func (m *Manager) renewOnce(ctx context.Context, lease infra.LeaseID) error {
 	sent := m.instant()
 	ttl, err := m.config.KV.KeepAlive(ctx, lease)
 	if err != nil {
@@ -133,10 +133,10 @@
 }
 
 // revoke ends the lease; it is tried until ctx ends.
-func (m *Manager) revoke(ctx context.Context, lease platform.LeaseID) {
+func (m *Manager) revoke(ctx context.Context, lease infra.LeaseID) {
 	for failures := 0; ; failures++ {
 		err := m.config.KV.Revoke(ctx, lease)
-		if err == nil || errorKind(err) == platform.LeaseNotFound {
+		if err == nil || errorKind(err) == infra.LeaseNotFound {
 			return
 		}
 		m.log.Warn("lease not revoked", "err", err)
@@ -148,10 +148,10 @@
 
 // errorKind returns the kind of an error of the key-value service. An error of
 // another type leaves open what took effect.
-func errorKind(err error) platform.ErrorKind {
-	var e *platform.Error
+func errorKind(err error) infra.ErrorKind {
+	var e *infra.Error
 	if errors.As(err, &e) {
 		return e.Kind
 	}
-	return platform.Ambiguous
+	return infra.Ambiguous
 }
--- a/internal/ownership/manager.go
+++ b/internal/ownership/manager.go
@@ -10,7 +10,7 @@
 	"sync"
 	"time"
 
-	"github.com/barleylift/barleylift/internal/platform"
+	"github.com/barleylift/barleylift/internal/infra"
 	"github.com/cespare/xxhash/v2"
 	"golang.org/x/time/rate"
 )
@@ -201,7 +201,7 @@
 
 // Lease returns the daemon's present lease and the create revision of its
 // member key; both are 0 while there is none.
-func (m *Manager) Lease() (platform.LeaseID, int64) {
+func (m *Manager) Lease() (infra.LeaseID, int64) {
 	m.mu.RLock()
 	defer m.mu.RUnlock()
 	return m.table.own.lease, m.table.own.revision
--- a/internal/ownership/manager_test.go
+++ b/internal/ownership/manager_test.go
@@ -10,7 +10,7 @@
 	"time"
 
 	"github.com/barleylift/barleylift/internal/fake"
-	"github.com/barleylift/barleylift/internal/platform"
+	"github.com/barleylift/barleylift/internal/infra"
 )
 
 // recorder is a Listener that keeps what it was told.
@@ -81,7 +81,7 @@
 	return f
 }
 
-func (f *fleet) add(name, zone string, kv platform.KV) *Manager {
+func (f *fleet) add(name, zone string, kv infra.KV) *Manager {
 	f.t.Helper()
 	r := &recorder{now: make(map[resourceKey]Token)}
 	m, err := NewManager(Config{
@@ -297,7 +297,7 @@
 		f.start()
 		time.Sleep(time.Minute)
 		_, before := f.managers[0].Lease()
-		if _, err := f.kv.Txn(t.Context(), platform.Txn{Then: []platform.Op{platform.Delete(memberKey("daemon-000"))}}); err != nil {
+		if _, err := f.kv.Txn(t.Context(), infra.Txn{Then: []infra.Op{infra.Delete(memberKey("daemon-000"))}}); err != nil {
 			t.Fatal(err)
 		}
 		time.Sleep(time.Minute)
--- a/internal/ownership/model_test.go
+++ b/internal/ownership/model_test.go
@@ -9,7 +9,7 @@
 	"time"
 
 	"github.com/barleylift/barleylift/internal/fake"
-	"github.com/barleylift/barleylift/internal/platform"
+	"github.com/barleylift/barleylift/internal/infra"
 	"pgregory.net/rapid"
 )
 
@@ -26,11 +26,11 @@
 type model struct {
 	ctx     context.Context
 	kv      *fake.KV
-	events  <-chan platform.WatchBatch
-	log     []platform.WatchBatch
+	events  <-chan infra.WatchBatch
+	log     []infra.WatchBatch
 	start   time.Time
 	now     time.Time
-	ends    map[platform.LeaseID]time.Time
+	ends    map[infra.LeaseID]time.Time
 	daemons []*modelDaemon
 	// late are requests whose sender has given up; they may still arrive.
 	late      []*request
@@ -48,7 +48,7 @@
 	work      *request
 	renewal   *request
 	announce  *request
-	read      *platform.RangeResult
+	read      *infra.RangeResult
 	readGains uint64
 	// told is what the listener was last told to hold.
 	told map[resourceKey]Token
@@ -58,13 +58,13 @@
 
 type request struct {
 	daemon  *modelDaemon
-	txn     platform.Txn
-	lease   platform.LeaseID
+	txn     infra.Txn
+	lease   infra.LeaseID
 	renews  bool
 	work    work
 	sent    instant
 	arrived bool
-	result  platform.TxnResult
+	result  infra.TxnResult
 	err     error
 }
 
@@ -72,7 +72,7 @@
 	start := time.Unix(1_000_000, 0)
 	m := &model{
 		ctx: context.Background(), kv: fake.NewKV(), start: start, now: start,
-		ends:      make(map[platform.LeaseID]time.Time),
+		ends:      make(map[infra.LeaseID]time.Time),
 		resources: engines(resources, 1),
 		tokens:    make(map[resourceKey]Token),
 		holders:   make(map[resourceKey]int),
@@ -113,7 +113,7 @@
 // arrive executes a request at the service; only the first result can reach
 // the sender.
 func (m *model) arrive(r *request) {
-	var result platform.TxnResult
+	var result infra.TxnResult
 	var err error
 	if r.renews {
 		if _, err = m.kv.KeepAlive(m.ctx, r.lease); err == nil {
@@ -165,7 +165,7 @@
 	switch {
 	case lost:
 		m.late = append(m.late, r)
-		d.table.failed(m.now, r.work, platform.Ambiguous, time.Second)
+		d.table.failed(m.now, r.work, infra.Ambiguous, time.Second)
 	case r.err != nil:
 		d.table.failed(m.now, r.work, errorKind(r.err), time.Second)
 	default:
@@ -198,7 +198,7 @@
 	}
 }
 
-func (m *model) deliverEvent(d *modelDaemon, e platform.WatchEvent) {
+func (m *model) deliverEvent(d *modelDaemon, e infra.WatchEvent) {
 	key, owner := parseOwnerKey(e.Entry.Key)
 	switch {
 	case owner && e.Deleted:
--- a/internal/ownership/table.go
+++ b/internal/ownership/table.go
@@ -6,7 +6,7 @@
 	"slices"
 	"time"
 
-	"github.com/barleylift/barleylift/internal/platform"
+	"github.com/barleylift/barleylift/internal/infra"
 )
 
 // resourceKey identifies a resource.
@@ -52,7 +52,7 @@
 // seenOwner is an owner key as it was last seen; the zero value means absent.
 type seenOwner struct {
 	Owner
-	lease platform.LeaseID
+	lease infra.LeaseID
 }
 
 // slot is the state of one resource at this daemon.
@@ -93,7 +93,7 @@
 
 // incarnation is the daemon's present lease and member key.
 type incarnation struct {
-	lease platform.LeaseID
+	lease infra.LeaseID
 	// revision is the create revision of the member key; 0 means none.
 	revision int64
 	began    time.Time
@@ -316,7 +316,7 @@
 }
 
 // begin starts an incarnation whose member key was created at the revision.
-func (t *table) begin(now time.Time, lease platform.LeaseID, revision int64, settle time.Duration) {
+func (t *table) begin(now time.Time, lease infra.LeaseID, revision int64, settle time.Duration) {
 	t.own = incarnation{lease: lease, revision: revision, began: now, settled: now.Add(settle)}
 	t.evaluateAll(now)
 }
--- a/internal/ownership/table_seen.go
+++ b/internal/ownership/table_seen.go
@@ -3,14 +3,14 @@
 import (
 	"time"
 
-	"github.com/barleylift/barleylift/internal/platform"
+	"github.com/barleylift/barleylift/internal/infra"
 )
 
 // seenKey is an owner key as it was read or as a watch told it.
 type seenKey struct {
 	key     resourceKey
 	owner   Owner
-	lease   platform.LeaseID
+	lease   infra.LeaseID
 	deleted bool
 	// modified is the revision of the last change.
 	modified int64
--- a/internal/ownership/table_txn.go
+++ b/internal/ownership/table_txn.go
@@ -3,35 +3,35 @@
 import (
 	"time"
 
-	"github.com/barleylift/barleylift/internal/platform"
+	"github.com/barleylift/barleylift/internal/infra"
 )
 
 // txn returns the transaction that does the work. A create requires the
 // incarnation's member key, so that a delayed one does nothing after its end;
 // a delete requires the token.
-func (t *table) txn(w work) platform.Txn {
+func (t *table) txn(w work) infra.Txn {
 	if w.phase == waiting {
 		return t.createTxn(w)
 	}
-	var txn platform.Txn
+	var txn infra.Txn
 	for _, i := range w.items {
 		name := ownerKey(i.key)
 		if w.phase == unsettled {
-			txn.Then = append(txn.Then, platform.Read(name))
+			txn.Then = append(txn.Then, infra.Read(name))
 			continue
 		}
-		txn.If = append(txn.If, platform.CreatedAt(name, int64(i.token)))
-		txn.Then = append(txn.Then, platform.Delete(name))
-		txn.Else = append(txn.Else, platform.Read(name))
+		txn.If = append(txn.If, infra.CreatedAt(name, int64(i.token)))
+		txn.Then = append(txn.Then, infra.Delete(name))
+		txn.Else = append(txn.Else, infra.Read(name))
 	}
 	return txn
 }
 
-func (t *table) createTxn(w work) platform.Txn {
+func (t *table) createTxn(w work) infra.Txn {
 	key := memberKey(t.self.Name)
-	txn := platform.Txn{
-		If:   []platform.Compare{platform.CreatedAt(key, w.own.revision)},
-		Else: []platform.Op{platform.Read(key)},
+	txn := infra.Txn{
+		If:   []infra.Compare{infra.CreatedAt(key, w.own.revision)},
+		Else: []infra.Op{infra.Read(key)},
 	}
 	for _, i := range w.items {
 		addCreate(&txn, i.key, t.self, w.own.lease)
@@ -40,22 +40,22 @@
 }
 
 // addCreate adds the creation of an owner key to a transaction.
-func addCreate(txn *platform.Txn, key resourceKey, self Member, lease platform.LeaseID) {
+func addCreate(txn *infra.Txn, key resourceKey, self Member, lease infra.LeaseID) {
 	name := ownerKey(key)
 	value := encode(Owner{Member: self.Name, PeerAddress: self.PeerAddress})
-	txn.If = append(txn.If, platform.Absent(name))
-	txn.Then = append(txn.Then, platform.Op{Kind: platform.OpPut, Key: name, Value: value, Lease: lease})
-	txn.Else = append(txn.Else, platform.Read(name))
+	txn.If = append(txn.If, infra.Absent(name))
+	txn.Then = append(txn.Then, infra.Op{Kind: infra.OpPut, Key: name, Value: value, Lease: lease})
+	txn.Else = append(txn.Else, infra.Read(name))
 }
 
 // announceTxn returns the transaction that creates the member key and, with
 // it, owner keys that the daemon held before.
-func announceTxn(lease platform.LeaseID, self Member, before []Resource) platform.Txn {
+func announceTxn(lease infra.LeaseID, self Member, before []Resource) infra.Txn {
 	key := memberKey(self.Name)
-	txn := platform.Txn{
-		If:   []platform.Compare{platform.Absent(key)},
-		Then: []platform.Op{{Kind: platform.OpPut, Key: key, Value: encode(self), Lease: lease}},
-		Else: []platform.Op{platform.Read(key)},
+	txn := infra.Txn{
+		If:   []infra.Compare{infra.Absent(key)},
+		Then: []infra.Op{{Kind: infra.OpPut, Key: key, Value: encode(self), Lease: lease}},
+		Else: []infra.Op{infra.Read(key)},
 	}
 	for _, r := range before {
 		addCreate(&txn, keyOf(r), self, lease)
@@ -65,7 +65,7 @@
 
 // settle takes the result of the transaction that did the work. An error
 // names an owner key that cannot be read; it counts as somebody else's.
-func (t *table) settle(now time.Time, w work, result platform.TxnResult) error {
+func (t *table) settle(now time.Time, w work, result infra.TxnResult) error {
 	if result.Succeeded && w.phase != unsettled {
 		t.done(now, w, result.Revision)
 		return nil
@@ -86,7 +86,7 @@
 }
 
 // readBack returns an owner key as it was read; the zero owner if it is absent.
-func readBack(key resourceKey, e platform.Entry) (seenKey, error) {
+func readBack(key resourceKey, e infra.Entry) (seenKey, error) {
 	if !e.Exists() {
 		return seenKey{key: key}, nil
 	}
@@ -101,9 +101,9 @@
 // unknownMember stands for the owner in a value that cannot be read.
 const unknownMember = "?"
 
-func firstOf(entries []platform.Entry) platform.Entry {
+func firstOf(entries []infra.Entry) infra.Entry {
 	if len(entries) == 0 {
-		return platform.Entry{}
+		return infra.Entry{}
 	}
 	return entries[0]
 }
--- a/internal/ownership/table_work.go
+++ b/internal/ownership/table_work.go
@@ -6,7 +6,7 @@
 	"slices"
 	"time"
 
-	"github.com/barleylift/barleylift/internal/platform"
+	"github.com/barleylift/barleylift/internal/infra"
 )
 
 const (
@@ -244,7 +244,7 @@
 
 // failed takes an error of the whole work. Creates that may have taken effect
 // are read back; all else is tried again after the delay.
-func (t *table) failed(now time.Time, w work, kind platform.ErrorKind, delay time.Duration) {
+func (t *table) failed(now time.Time, w work, kind infra.ErrorKind, delay time.Duration) {
 	if !t.current(w) {
 		return
 	}
@@ -254,7 +254,7 @@
 			continue
 		}
 		switch {
-		case s.phase == creating && kind == platform.Ambiguous, s.phase == reading:
+		case s.phase == creating && kind == infra.Ambiguous, s.phase == reading:
 			s.phase = unsettled
 		case s.phase == creating:
 			s.phase = waiting
--- a/internal/ownership/work.go
+++ b/internal/ownership/work.go
@@ -4,7 +4,7 @@
 	"context"
 	"time"
 
-	"github.com/barleylift/barleylift/internal/platform"
+	"github.com/barleylift/barleylift/internal/infra"
 )
 
 // createBurst is the number of transactions that a daemon may send at once
@@ -33,7 +33,7 @@
 		delay := m.backoff(failures)
 		failures++
 		m.update(func(now time.Time) { m.table.failed(now, w, errorKind(err), delay) })
-		if errorKind(err) == platform.LeaseNotFound {
+		if errorKind(err) == infra.LeaseNotFound {
 			signal(m.renewNow)
 		}
 	}
@@ -86,7 +86,7 @@
 }
 
 // workTxn returns the transaction that does the work.
-func (m *Manager) workTxn(w work) platform.Txn {
+func (m *Manager) workTxn(w work) infra.Txn {
 	m.mu.RLock()
 	defer m.mu.RUnlock()
 	return m.table.txn(w)
@@ -94,7 +94,7 @@
 
 // settle takes the result of a transaction into the table, and has the lease
 // checked if the incarnation of the work is over.
-func (m *Manager) settle(w work, result platform.TxnResult) {
+func (m *Manager) settle(w work, result infra.TxnResult) {
 	m.update(func(now time.Time) {
 		if err := m.table.settle(now, w, result); err != nil {
 			m.log.Error("owner is not readable", "err", err)
--- a/internal/plain/world_test.go
+++ b/internal/plain/world_test.go
@@ -18,10 +18,10 @@
 	"github.com/barleylift/barleylift/internal/catalog"
 	"github.com/barleylift/barleylift/internal/claim"
 	"github.com/barleylift/barleylift/internal/fake"
+	"github.com/barleylift/barleylift/internal/infra"
 	"github.com/barleylift/barleylift/internal/metrics"
 	"github.com/barleylift/barleylift/internal/ownership"
 	"github.com/barleylift/barleylift/internal/peer"
-	"github.com/barleylift/barleylift/internal/platform"
 	"github.com/barleylift/barleylift/internal/profile"
 	"github.com/barleylift/barleylift/internal/upstream"
 	"github.com/fxamacker/cbor/v2"
@@ -215,8 +215,8 @@
 func (w *testWorld) gain(t testing.TB, d *testDaemon, name string, resource ownership.Resource) {
 	t.Helper()
 	key := "owners/claim/" + resource.ID
-	_, _ = w.kv.Txn(context.Background(), platform.Txn{Then: []platform.Op{platform.Delete(key)}})
-	result, err := w.kv.Txn(context.Background(), platform.Txn{Then: []platform.Op{platform.Put(key, nil)}})
+	_, _ = w.kv.Txn(context.Background(), infra.Txn{Then: []infra.Op{infra.Delete(key)}})
+	result, err := w.kv.Txn(context.Background(), infra.Txn{Then: []infra.Op{infra.Put(key, nil)}})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/platform/doc.go
+++ /dev/null
@@ -1,3 +0,0 @@
-// Package platform holds the interfaces of the platform that barleylift runs
-// on (the key-value service, the list of VMs) and the clients that carry them.
-package platform
--- a/internal/upstream/service.go
+++ b/internal/upstream/service.go
@@ -10,7 +10,7 @@
 	"time"
 
 	"github.com/barleylift/barleylift/internal/catalog"
-	"github.com/barleylift/barleylift/internal/platform"
+	"github.com/barleylift/barleylift/internal/infra"
 )
 
 // ServicesConfig holds the dependencies of Services.
@@ -68,10 +68,10 @@
 }
 
 // ApplyVMs takes over which VMs the platform's list calls leaving.
-func (s *Services) ApplyVMs(vms []platform.VM) {
+func (s *Services) ApplyVMs(vms []infra.VM) {
 	leaving := make(map[string]bool)
 	for _, vm := range vms {
-		if vm.State == platform.VMLeaving {
+		if vm.State == infra.VMLeaving {
 			leaving[vm.Address] = true
 		}
 	}
--- a/internal/upstream/service_test.go
+++ b/internal/upstream/service_test.go
@@ -18,7 +18,7 @@
 	"github.com/barleylift/barleylift/internal/catalog"
 	"github.com/barleylift/barleylift/internal/claim"
 	"github.com/barleylift/barleylift/internal/fake"
-	"github.com/barleylift/barleylift/internal/platform"
+	"github.com/barleylift/barleylift/internal/infra"
 )
 
 const testTimeout = 10 * time.Second
@@ -171,16 +171,16 @@
 		}
 	}
 	send()
-	services.ApplyVMs([]platform.VM{{Address: strings.TrimPrefix(nearReplica.Address, "http://"), State: platform.VMLeaving}})
+	services.ApplyVMs([]infra.VM{{Address: strings.TrimPrefix(nearReplica.Address, "http://"), State: infra.VMLeaving}})
 	for range 5 {
 		send()
 	}
 	if n, f := near.Arrived(), far.Arrived(); n != 1 || f != 5 {
 		t.Errorf("near replica got %d calls, far one %d; want 1 and 5", n, f)
 	}
-	services.ApplyVMs([]platform.VM{
-		{Address: strings.TrimPrefix(nearReplica.Address, "http://"), State: platform.VMLeaving},
-		{Address: strings.TrimPrefix(farReplica.Address, "http://"), State: platform.VMLeaving},
+	services.ApplyVMs([]infra.VM{
+		{Address: strings.TrimPrefix(nearReplica.Address, "http://"), State: infra.VMLeaving},
+		{Address: strings.TrimPrefix(farReplica.Address, "http://"), State: infra.VMLeaving},
 	})
 	if result := services.Send(context.Background(), tick("x")); result.Kind != claim.SendNotRun {
 		t.Errorf("with all replicas leaving: %+v", result)
