--- /dev/null
+++ b/cmd/barleylift/gateway.go
@@ -0,0 +1,40 @@
+package main
+
+import (
+	"context"
+	"os"
+	"time"
+
+	"github.com/barleylift/barleylift/internal/command"
+	"github.com/barleylift/barleylift/internal/gateway"
+	"github.com/barleylift/barleylift/internal/metrics"
+	"github.com/barleylift/barleylift/internal/oplog"
+	"github.com/barleylift/barleylift/platform"
+	"github.com/prometheus/client_golang/prometheus"
+)
+
+// watchPause gathers changes of the platform's store that come close together.
+// It takes a tenth of the time in which a configuration must be in force.
+const watchPause = 200 * time.Millisecond
+
+// runGateway runs a daemon on the users' platform.
+func runGateway(ctx context.Context, o command.GatewayOptions) error {
+	path := os.Getenv(platform.SettingsVariable)
+	settings, err := platform.LoadSettings(path)
+	if err != nil {
+		return err
+	}
+	output := oplog.New(o.Stdout)
+	defer output.Close()
+	registry := prometheus.NewRegistry()
+	meters := metrics.NewGateway(registry)
+	return gateway.Run(ctx, gateway.Options{
+		Settings: settings,
+		Platform: platform.New(settings.Store.String(), watchPause, meters.KVCall),
+		Reload:   func() (gateway.Settings, error) { return platform.LoadSettings(path) },
+		Metrics:  o.Metrics,
+		Registry: registry,
+		Meters:   meters,
+		Log:      output.Logger(o.Level),
+	})
+}
--- a/cmd/barleylift/main.go
+++ b/cmd/barleylift/main.go
@@ -29,6 +29,7 @@
 			}
 			return dev.Run(ctx, o.Listen, o.Quiet, o.Stdout)
 		},
+		Gateway: runGateway,
 		Version: version(),
 	}
 	return command.Run(ctx, os.Args[1:], runner, command.Streams{Out: os.Stdout, Err: os.Stderr})
--- a/internal/command/parse.go
+++ b/internal/command/parse.go
@@ -25,6 +25,8 @@
 	listen    string
 	quiet     bool
 	standIns  string
+	metrics   string
+	logLevel  string
 	replay    replayOptions
 }
 
@@ -43,7 +45,7 @@
 	err     error
 	parser  *flaggy.Parser
 
-	serve, check, diff, apply, status, dev, replay, trace, version *flaggy.Subcommand
+	serve, gateway, check, diff, apply, status, dev, replay, trace, version *flaggy.Subcommand
 }
 
 // parse parses the arguments with a parser of its own.
@@ -56,10 +58,15 @@
 	p.ShowCompletion = false
 	line.parser = p
 	o := &line.options
+	o.logLevel = "info"
 
 	line.serve = line.command("serve", "Run a daemon until it is told to stop, then drain.")
 	line.serve.String(&o.settings, "", "settings", "TOML file with the daemon's settings (required).")
 
+	line.gateway = line.command("gateway", "Run a daemon on the users' platform, with the settings that the platform lays out.")
+	line.gateway.String(&o.metrics, "", "metrics", "Address of the metrics page, as host:port; no page if left out.")
+	line.gateway.String(&o.logLevel, "", "log-level", "Least level of log lines: debug, info, warn or error.")
+
 	line.check = line.command("check", "Validate a directory of configuration and name each fault's file, field and reason.")
 	line.directory(line.check)
 	line.jsonFlag(line.check)
--- a/internal/command/run.go
+++ b/internal/command/run.go
@@ -27,10 +27,22 @@
 	Serve func(ctx context.Context, s *settings.Settings, log *slog.Logger) error
 	// Dev runs a daemon with small stand-ins of everything around it.
 	Dev func(ctx context.Context, o DevOptions) error
+	// Gateway runs a daemon on the users' platform until ctx ends and it has drained.
+	Gateway func(ctx context.Context, o GatewayOptions) error
 	// Version is what the version command prints.
 	Version string
 }
 
+// GatewayOptions are the options of the gateway command.
+type GatewayOptions struct {
+	// Metrics is the address of the metrics page; empty for none.
+	Metrics string
+	// Level is the least level of log lines.
+	Level slog.Level
+	// Stdout receives the log.
+	Stdout io.Writer
+}
+
 // DevOptions are the options of the dev command.
 type DevOptions struct {
 	// Listen is host:port for callers; empty for a free port on 127.0.0.1.
@@ -63,6 +75,8 @@
 	switch {
 	case line.serve.Used:
 		return c.serve(ctx)
+	case line.gateway.Used:
+		return c.gateway(ctx)
 	case line.check.Used:
 		return c.check()
 	case line.diff.Used:
--- /dev/null
+++ b/internal/fleet/keeper.go
@@ -0,0 +1,315 @@
+package fleet
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"sync"
+	"time"
+
+	"github.com/barleylift/barleylift/internal/clock"
+	"github.com/barleylift/barleylift/internal/infra"
+	"github.com/barleylift/barleylift/internal/mirror"
+)
+
+// KeeperConfig holds the dependencies of a Keeper.
+type KeeperConfig struct {
+	KV     infra.KV
+	Prefix string
+	Self   Member
+	Timing Timing
+	Log    *slog.Logger
+	// Unreachable reports whether every other member has just said that it
+	// can't reach the key-value service either, so that none can make a claim.
+	Unreachable func() bool
+	// Changed is called after the table changed, without a lock held.
+	Changed func()
+}
+
+// Keeper holds this daemon's lease and member key, claims engines, and answers
+// who may order which engine. It is safe for concurrent use.
+type Keeper struct {
+	config KeeperConfig
+	log    *slog.Logger
+	wake   chan struct{}
+
+	// mu guards the fields below; it is not held during I/O.
+	mu    sync.RWMutex
+	table *Table
+	lease infra.LeaseID
+	// announced is the revision of the member key; 0 while there is none.
+	announced int64
+	// contact is when the last successful renewal was sent.
+	contact time.Duration
+	renewed bool
+}
+
+// NewKeeper returns a Keeper that is not running.
+func NewKeeper(config KeeperConfig) (*Keeper, error) {
+	if config.KV == nil || config.Log == nil || config.Self.Name == "" {
+		return nil, errors.New("fleet: KV, Log and Self.Name are required")
+	}
+	if config.Timing.LeaseTTL <= 0 || config.Timing.Quiet <= 0 {
+		return nil, errors.New("fleet: Timing: the lease's time to live and the quiet time must be positive")
+	}
+	if config.Unreachable == nil {
+		config.Unreachable = func() bool { return false }
+	}
+	if config.Changed == nil {
+		config.Changed = func() {}
+	}
+	return &Keeper{
+		config: config,
+		log:    config.Log.With("part", "fleet"),
+		wake:   make(chan struct{}, 1),
+		table:  NewTable(config.Prefix, config.Self, config.Timing),
+	}, nil
+}
+
+// Apply takes over changes from the mirror of the key-value service.
+func (k *Keeper) Apply(changes []mirror.Change, revision int64) {
+	k.mu.Lock()
+	before := k.table.Mine()
+	k.table.Apply(clock.Boot(), changes, revision)
+	after := k.table.Mine()
+	if k.announced != 0 && k.announced <= revision && k.table.members[k.config.Self.Name].Boot != k.config.Self.Boot {
+		// The service dropped the member key, or another process of this VM took it.
+		k.announced = 0
+	}
+	k.mu.Unlock()
+	k.logOwnership(before, after)
+	k.signal()
+	k.config.Changed()
+}
+
+func (k *Keeper) logOwnership(before, after []string) {
+	for _, id := range after {
+		if !containsID(before, id) {
+			k.log.Info("engine gained", "engine", id)
+		}
+	}
+	for _, id := range before {
+		if !containsID(after, id) {
+			k.log.Info("engine lost", "engine", id)
+		}
+	}
+}
+
+func containsID(ids []string, id string) bool {
+	for _, other := range ids {
+		if other == id {
+			return true
+		}
+	}
+	return false
+}
+
+// SetEngines replaces the set of engines that are to be ordered.
+func (k *Keeper) SetEngines(ids []string) {
+	k.mu.Lock()
+	k.table.SetEngines(clock.Boot(), ids)
+	k.mu.Unlock()
+	k.signal()
+}
+
+func (k *Keeper) signal() {
+	select {
+	case k.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Self returns this daemon's announcement.
+func (k *Keeper) Self() Member {
+	k.mu.RLock()
+	defer k.mu.RUnlock()
+	return k.table.self
+}
+
+// Members returns all members that are known, in name order.
+func (k *Keeper) Members() []Member {
+	k.mu.RLock()
+	defer k.mu.RUnlock()
+	return k.table.Members()
+}
+
+// Owner returns the member that orders an engine.
+func (k *Keeper) Owner(id string) (Member, bool) {
+	k.mu.RLock()
+	defer k.mu.RUnlock()
+	return k.table.Owner(id)
+}
+
+// Mine lists the engines that this daemon orders.
+func (k *Keeper) Mine() []string {
+	k.mu.RLock()
+	defer k.mu.RUnlock()
+	return k.table.Mine()
+}
+
+// MayOrder returns the token for an order to an engine if this daemon may send
+// one at this moment. It is to be asked just before each order.
+func (k *Keeper) MayOrder(id string) (Token, bool) {
+	now := clock.Boot()
+	k.mu.RLock()
+	token, ok := k.table.MayOrder(now, id)
+	fresh := k.renewed && now-k.contact < validFor && k.announced != 0 && k.table.Revision() >= k.announced
+	everHeld := k.renewed
+	k.mu.RUnlock()
+	if !ok {
+		return 0, false
+	}
+	if fresh {
+		return token, true
+	}
+	// During an outage that all members see, nobody can claim the engine.
+	return token, everHeld && k.config.Unreachable()
+}
+
+// Run holds the lease and makes claims until ctx ends.
+func (k *Keeper) Run(ctx context.Context) {
+	var running sync.WaitGroup
+	running.Go(func() { k.runLease(ctx) })
+	running.Go(func() { k.runClaims(ctx) })
+	running.Wait()
+}
+
+func (k *Keeper) runLease(ctx context.Context) {
+	for ctx.Err() == nil {
+		pause := renewEvery
+		if err := k.renew(ctx); err != nil {
+			pause = renewRetry
+			k.log.Debug("lease not renewed", "error", err)
+		}
+		if !clock.Sleep(ctx, pause) {
+			return
+		}
+	}
+}
+
+// renew makes sure that there is a lease with the member key, and renews it.
+func (k *Keeper) renew(ctx context.Context) error {
+	k.mu.RLock()
+	lease, announced := k.lease, k.announced
+	k.mu.RUnlock()
+	sent := clock.Boot()
+	if lease == 0 {
+		granted, err := k.config.KV.Grant(ctx, k.config.Timing.LeaseTTL)
+		if err != nil {
+			return err
+		}
+		lease, announced = granted, 0
+		k.log.Info("lease granted", "lease", int64(lease))
+		k.setLease(lease)
+	} else if _, err := k.config.KV.KeepAlive(ctx, lease); err != nil {
+		k.dropLease(err)
+		return err
+	}
+	if announced == 0 {
+		if err := k.announce(ctx, lease); err != nil {
+			k.dropLease(err)
+			return err
+		}
+	}
+	k.mu.Lock()
+	k.contact = sent
+	k.renewed = true
+	k.mu.Unlock()
+	return nil
+}
+
+func (k *Keeper) setLease(lease infra.LeaseID) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.lease = lease
+	k.announced = 0
+}
+
+// dropLease forgets a lease that the service does not know any more.
+func (k *Keeper) dropLease(cause error) {
+	var failure *infra.Error
+	if errors.As(cause, &failure) && failure.Kind == infra.LeaseNotFound {
+		k.log.Warn("lease has lapsed")
+		k.setLease(0)
+	}
+}
+
+// announce writes the member key.
+func (k *Keeper) announce(ctx context.Context, lease infra.LeaseID) error {
+	self := k.Self()
+	put := infra.Put(k.config.Prefix+memberKeys+self.Name, encode(self))
+	put.Lease = lease
+	result, err := k.config.KV.Txn(ctx, infra.Txn{Then: []infra.Op{put}})
+	if err != nil {
+		return err
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.announced = result.Revision
+	return nil
+}
+
+func (k *Keeper) runClaims(ctx context.Context) {
+	ticker := time.NewTicker(claimEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-k.wake:
+		case <-ticker.C:
+		}
+		for _, claim := range k.dueClaims() {
+			k.send(ctx, claim)
+		}
+	}
+}
+
+// dueClaims returns what is to be claimed while this daemon is announced.
+func (k *Keeper) dueClaims() []Claim {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.announced == 0 || k.table.Revision() < k.announced {
+		return nil
+	}
+	return k.table.Claims(clock.Boot())
+}
+
+func (k *Keeper) send(ctx context.Context, claim Claim) {
+	result, err := k.config.KV.Txn(ctx, claim.Txn)
+	k.mu.Lock()
+	k.table.Settled(claim)
+	k.mu.Unlock()
+	switch {
+	case err != nil:
+		k.log.Warn("claim without an answer", "engines", claim.Engines, "error", err)
+	case !result.Succeeded:
+		k.log.Info("claim refused, another daemon was first", "engines", claim.Engines)
+	default:
+		k.log.Info("engines claimed", "engines", claim.Engines, "revision", result.Revision)
+	}
+}
+
+// Drain stops all orders of this daemon and then announces its end, so that
+// others claim its engines.
+func (k *Keeper) Drain(ctx context.Context) error {
+	k.mu.Lock()
+	k.table.self.Draining = true
+	lease := k.lease
+	k.mu.Unlock()
+	if lease == 0 {
+		return nil
+	}
+	return k.announce(ctx, lease)
+}
+
+// Leave ends the lease, which removes the member key.
+func (k *Keeper) Leave(ctx context.Context) error {
+	k.mu.RLock()
+	lease := k.lease
+	k.mu.RUnlock()
+	if lease == 0 {
+		return nil
+	}
+	return k.config.KV.Revoke(ctx, lease)
+}
--- /dev/null
+++ b/internal/fleet/table.go
@@ -0,0 +1,328 @@
+package fleet
+
+import (
+	"encoding/json"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/barleylift/barleylift/internal/infra"
+	"github.com/barleylift/barleylift/internal/mirror"
+	"github.com/barleylift/barleylift/internal/placement"
+)
+
+// seenMember is a member key as it was last seen.
+type seenMember struct {
+	Member
+	revision int64
+}
+
+// engine is what is known about the ordering of one engine.
+type engine struct {
+	// present tells that the engine is registered and may be ordered.
+	present bool
+	record
+	revision int64
+	// changed is when the record was last seen to change.
+	changed time.Duration
+	// quietFrom is when this daemon may send its first order; it counts from
+	// the sight of its claim.
+	quietFrom time.Duration
+	// claimed is when a claim was last sent, and pending whether its result is awaited.
+	claimed time.Duration
+	pending bool
+	tried   bool
+}
+
+// Table holds the members and the engines' records. It does no I/O and is not
+// safe for concurrent use. Times are readings of clock.Boot.
+type Table struct {
+	prefix  string
+	self    Member
+	timing  Timing
+	members map[string]seenMember
+	// lost maps absent members to when they were first found absent.
+	lost    map[string]time.Duration
+	engines map[string]*engine
+	// revision is that up to which the table is complete, and began when it
+	// was first.
+	revision int64
+	began    time.Duration
+}
+
+// NewTable returns an empty table. Keys begin with the prefix.
+func NewTable(prefix string, self Member, timing Timing) *Table {
+	return &Table{
+		prefix:  prefix,
+		self:    self,
+		timing:  timing,
+		members: make(map[string]seenMember),
+		lost:    make(map[string]time.Duration),
+		engines: make(map[string]*engine),
+	}
+}
+
+// Apply takes over changes of the fleet's keys; others are ignored. Values
+// that can't be read count as absent.
+func (t *Table) Apply(now time.Duration, changes []mirror.Change, revision int64) {
+	for _, change := range changes {
+		key, ours := strings.CutPrefix(change.Entry.Key, t.prefix)
+		if !ours {
+			continue
+		}
+		if name, ok := strings.CutPrefix(key, memberKeys); ok {
+			t.applyMember(now, name, change)
+		}
+		if id, ok := strings.CutPrefix(key, engineKeys); ok {
+			t.applyRecord(now, id, change)
+		}
+	}
+	if t.revision == 0 {
+		t.began = now
+	}
+	t.revision = max(t.revision, revision)
+}
+
+// Revision returns the revision up to which the table is complete.
+func (t *Table) Revision() int64 {
+	return t.revision
+}
+
+func (t *Table) applyMember(now time.Duration, name string, change mirror.Change) {
+	var member Member
+	if change.Deleted || json.Unmarshal(change.Entry.Value, &member) != nil || member.Name != name {
+		delete(t.members, name)
+		t.lost[name] = now
+		return
+	}
+	t.members[name] = seenMember{Member: member, revision: change.Entry.ModRevision}
+	delete(t.lost, name)
+}
+
+func (t *Table) applyRecord(now time.Duration, id string, change mirror.Change) {
+	e := t.engine(id)
+	former := e.record
+	e.record = record{}
+	e.revision = 0
+	e.pending = false
+	e.changed = now
+	if change.Deleted {
+		return
+	}
+	e.revision = change.Entry.ModRevision
+	if json.Unmarshal(change.Entry.Value, &e.record) != nil {
+		e.record = record{}
+	}
+	if !t.mine(e) {
+		return
+	}
+	e.quietFrom = now
+	if former.Member == "" || former.Member == t.self.Name {
+		return
+	}
+	e.quietFrom = now + t.timing.Quiet
+	if !t.members[former.Member].Draining {
+		e.quietFrom += lostSlack
+	}
+}
+
+func (t *Table) engine(id string) *engine {
+	e := t.engines[id]
+	if e == nil {
+		e = &engine{}
+		t.engines[id] = e
+	}
+	return e
+}
+
+func (t *Table) mine(e *engine) bool {
+	return e.Member == t.self.Name && e.Boot == t.self.Boot
+}
+
+// SetEngines replaces the set of engines that are to be ordered.
+func (t *Table) SetEngines(now time.Duration, ids []string) {
+	for _, e := range t.engines {
+		e.present = false
+	}
+	for _, id := range ids {
+		e := t.engine(id)
+		if e.changed == 0 {
+			e.changed = now
+		}
+		e.present = true
+	}
+	for id, e := range t.engines {
+		if !e.present && e.revision == 0 {
+			delete(t.engines, id)
+		}
+	}
+}
+
+// Members returns the members in name order. This daemon is among them if its
+// key was seen.
+func (t *Table) Members() []Member {
+	list := make([]Member, 0, len(t.members))
+	for _, m := range t.members {
+		list = append(list, m.Member)
+	}
+	slices.SortFunc(list, func(a, b Member) int { return strings.Compare(a.Name, b.Name) })
+	return list
+}
+
+// Owner returns the member that orders an engine, if it is known and present.
+func (t *Table) Owner(id string) (Member, bool) {
+	e := t.engines[id]
+	if e == nil {
+		return Member{}, false
+	}
+	if t.mine(e) {
+		return t.self, true
+	}
+	m, ok := t.members[e.Member]
+	return m.Member, ok
+}
+
+// MayOrder returns the token for orders to an engine if this daemon may send
+// them now, given that its lease is valid.
+func (t *Table) MayOrder(now time.Duration, id string) (Token, bool) {
+	e := t.engines[id]
+	if e == nil || !t.mine(e) || t.self.Draining || now < e.quietFrom {
+		return 0, false
+	}
+	return Token(e.revision), true
+}
+
+// Mine lists the engines whose records name this process.
+func (t *Table) Mine() []string {
+	var ids []string
+	for id, e := range t.engines {
+		if t.mine(e) {
+			ids = append(ids, id)
+		}
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+// Claim is a change of engines' records that is due.
+type Claim struct {
+	Engines []string
+	Txn     infra.Txn
+}
+
+// Claims returns the claims that are due at now, in transactions of a bounded
+// size, and the deletion of records of engines that are gone.
+func (t *Table) Claims(now time.Duration) []Claim {
+	if t.self.Draining || t.revision == 0 {
+		return nil
+	}
+	var due []string
+	for id, e := range t.engines {
+		if t.claimDue(now, id, e) {
+			due = append(due, id)
+		}
+	}
+	slices.Sort(due)
+	var claims []Claim
+	for chunk := range slices.Chunk(due, claimsPerTxn) {
+		claims = append(claims, t.claim(now, chunk))
+	}
+	return claims
+}
+
+func (t *Table) claimDue(now time.Duration, id string, e *engine) bool {
+	if e.pending || e.tried && now-e.claimed < retryClaim {
+		return false
+	}
+	if !e.present {
+		// The daemon that ordered the engine last removes its record.
+		return t.mine(e) && now-e.changed > t.timing.LeaseTTL
+	}
+	if t.mine(e) {
+		return false
+	}
+	if e.Member == t.self.Name {
+		return true
+	}
+	if now-t.began < settleDelay {
+		// The members that start at the same time are not all known yet.
+		return false
+	}
+	wait := time.Duration(min(t.rank(id), maxPlaces)) * rankStep
+	if e.Member == "" {
+		return now-e.changed >= wait
+	}
+	former, present := t.members[e.Member]
+	if present {
+		return former.Draining && now-e.changed >= wait
+	}
+	since, known := t.lost[e.Member]
+	if !known {
+		// The member was absent from the first read on.
+		t.lost[e.Member] = now
+		return false
+	}
+	return now-since >= settleDelay+wait
+}
+
+// rank returns how many members stand before this daemon for an engine.
+func (t *Table) rank(id string) int {
+	candidates := make([]placement.Candidate, 0, len(t.members)+1)
+	candidates = append(candidates, placement.Candidate{Engine: t.self.Name})
+	for name, m := range t.members {
+		if name != t.self.Name && !m.Draining {
+			candidates = append(candidates, placement.Candidate{Engine: name})
+		}
+	}
+	for i, c := range placement.Rank(candidates, id, maxPlaces) {
+		if c.Engine == t.self.Name {
+			return i
+		}
+	}
+	return maxPlaces
+}
+
+// claim builds the transaction that makes this daemon the one that orders the
+// engines. It holds only as long as no former daemon is back.
+func (t *Table) claim(now time.Duration, ids []string) Claim {
+	txn := infra.Txn{}
+	conditions := make(map[string]infra.Compare)
+	for _, id := range ids {
+		e := t.engines[id]
+		e.claimed = now
+		e.tried = true
+		e.pending = true
+		key := t.prefix + engineKeys + id
+		if e.revision == 0 {
+			conditions[key] = infra.Absent(key)
+		} else {
+			conditions[key] = infra.ModifiedAt(key, e.revision)
+		}
+		if !e.present {
+			txn.Then = append(txn.Then, infra.Delete(key))
+			continue
+		}
+		txn.Then = append(txn.Then, infra.Put(key, encode(record{Member: t.self.Name, Boot: t.self.Boot})))
+		if e.Member != "" && e.Member != t.self.Name {
+			former := t.prefix + memberKeys + e.Member
+			conditions[former] = infra.Absent(former)
+			if m, ok := t.members[e.Member]; ok {
+				conditions[former] = infra.ModifiedAt(former, m.revision)
+			}
+		}
+	}
+	for _, condition := range conditions {
+		txn.If = append(txn.If, condition)
+	}
+	return Claim{Engines: ids, Txn: txn}
+}
+
+// Settled takes over that a claim's result is known, or that it may never be.
+// The record itself comes by Apply.
+func (t *Table) Settled(claim Claim) {
+	for _, id := range claim.Engines {
+		if e := t.engines[id]; e != nil {
+			e.pending = false
+		}
+	}
+}
--- /dev/null
+++ b/internal/fleet/types.go
@@ -0,0 +1,92 @@
+package fleet
+
+import (
+	"encoding/json"
+	"time"
+)
+
+// The keys of a fleet, relative to the product's prefix.
+const (
+	memberKeys = "members/"
+	engineKeys = "engines/"
+)
+
+// Member is what a daemon announces of itself.
+type Member struct {
+	// Name is the VM's name.
+	Name   string `json:"name"`
+	Zone   string `json:"zone"`
+	Region string `json:"region"`
+	// Entry is where callers connect, as IP:port.
+	Entry string `json:"entry"`
+	// Mesh is where other daemons send datagrams to, as IP:port.
+	Mesh string `json:"mesh"`
+	// Boot names the process: the Unix time of its start in milliseconds.
+	Boot int64 `json:"boot"`
+	// Draining tells that the daemon is about to end.
+	Draining bool `json:"draining,omitempty"`
+}
+
+// record is the value of an engine's key.
+type record struct {
+	// Member is the VM whose daemon orders the engine.
+	Member string `json:"member"`
+	Boot   int64  `json:"boot"`
+}
+
+// Token is a fencing token: the revision of an engine's key.
+type Token int64
+
+// Timing holds the time constants of a fleet.
+type Timing struct {
+	// LeaseTTL is how long a daemon's lease outlives its last renewal.
+	LeaseTTL time.Duration
+	// Quiet is how long an engine must have got no order from one daemon
+	// before another one may order it.
+	Quiet time.Duration
+}
+
+// DefaultLeaseTTL outlasts a restart and a power cut of some seconds, after
+// which the same daemon goes on. It bounds how long a lost daemon is listed.
+const DefaultLeaseTTL = 5 * time.Second
+
+// Time constants of a fleet.
+const (
+	// settleDelay is how long a member key must have been absent before its
+	// engines are claimed: a daemon whose lease lapsed with the service is
+	// back within a second.
+	settleDelay = 1500 * time.Millisecond
+	// rankStep is kept between the claims of daemons of consecutive rank.
+	rankStep = 400 * time.Millisecond
+	// lostSlack is added to the quiet time after a daemon that did not announce
+	// its end: it may have gone on for validFor since its last contact.
+	lostSlack = 1500 * time.Millisecond
+	// validFor is how long after the sending of its last successful renewal a
+	// daemon gives orders. The service may drop keys at the moment at which it
+	// stops answering, so this does not rest on the lease's time to live: it
+	// stays below settleDelay + lostSlack, after which a successor's quiet time
+	// has begun to count.
+	validFor = 2500 * time.Millisecond
+	// renewEvery is the time between two renewals.
+	renewEvery = time.Second
+	// renewRetry is the pause after a failed renewal.
+	renewRetry = 300 * time.Millisecond
+	// claimEvery is how often the table is asked for due claims.
+	claimEvery = 200 * time.Millisecond
+	// maxPlaces bounds the ranks that wait for one another.
+	maxPlaces = 5
+	// retryClaim is the least time between two claims of one engine.
+	retryClaim = time.Second
+	// claimsPerTxn keeps a claim with its conditions and keys within the 32
+	// entries of a transaction: three entries an engine.
+	claimsPerTxn = 10
+)
+
+func encode(value any) []byte {
+	text, err := json.Marshal(value)
+	if err != nil {
+		// The types above always have a JSON form.
+		panic("fleet: " + err.Error())
+	}
+	return text
+}
--- /dev/null
+++ b/internal/gateway/budgets.go
@@ -0,0 +1,79 @@
+package gateway
+
+import (
+	"math"
+	"sync"
+	"time"
+
+	"github.com/barleylift/barleylift/internal/limit"
+)
+
+const (
+	// budgetMargin keeps the sum of all daemons' shares below the bound while
+	// their views of the number of daemons differ.
+	budgetMargin = 0.8
+	// budgetWindowFactor lengthens the window, because a slice of it is
+	// forgotten as a whole.
+	budgetWindowFactor = 1.1
+)
+
+// budgets holds this daemon's share of the budget of repeated sends to each
+// service. The shares add up to the bound without any talk between daemons:
+// each takes the ratio of its own requests, and an equal part of the slack.
+type budgets struct {
+	mu       sync.Mutex // guards the fields below; not held during I/O
+	settings BudgetSettings
+	members  int
+	services map[string]*limit.RetryBudget
+}
+
+func newBudgets(settings BudgetSettings) *budgets {
+	return &budgets{settings: settings, members: 1, services: make(map[string]*limit.RetryBudget)}
+}
+
+// of returns the budget of a service.
+func (b *budgets) of(service string) *limit.RetryBudget {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	budget := b.services[service]
+	if budget == nil {
+		budget = b.build()
+		b.services[service] = budget
+	}
+	return budget
+}
+
+// build returns an empty budget. The caller holds mu, because the settings are read.
+func (b *budgets) build() *limit.RetryBudget {
+	budget, err := limit.NewRetryBudget(limit.RetryBudgetConfig{
+		Share:  b.settings.Share * budgetMargin,
+		Window: time.Duration(float64(b.settings.Window) * budgetWindowFactor),
+		Floor:  int(math.Floor(b.settings.Slack * budgetMargin / float64(b.members))),
+	})
+	if err != nil {
+		// Settings.Check and the constants above rule this out.
+		panic("gateway: " + err.Error())
+	}
+	return budget
+}
+
+// setMembers changes the number of daemons that share the budget. It only
+// grows, so that a daemon that is cut off does not take the others' part.
+func (b *budgets) setMembers(members int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if members <= b.members {
+		return
+	}
+	b.members = members
+	for _, budget := range b.services {
+		budget.SetFloor(int(math.Floor(b.settings.Slack * budgetMargin / float64(members))))
+	}
+}
+
+// memberCount returns the number of daemons that share bounds.
+func (b *budgets) memberCount() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.members
+}
--- /dev/null
+++ b/internal/gateway/notices.go
@@ -0,0 +1,237 @@
+package gateway
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/barleylift/barleylift/internal/clock"
+	"github.com/barleylift/barleylift/internal/fleet"
+	"github.com/barleylift/barleylift/internal/locator"
+	"github.com/barleylift/barleylift/internal/mesh"
+	"github.com/barleylift/barleylift/internal/orders"
+	"github.com/barleylift/barleylift/internal/residency"
+	"github.com/barleylift/barleylift/internal/topology"
+)
+
+// Time constants of the notices between daemons.
+const (
+	// noticeEvery is the time between two notices to each daemon in a fleet of
+	// noticePeers or fewer; larger fleets send less often, so that a daemon's
+	// rate of datagrams stays the same.
+	noticeEvery = 300 * time.Millisecond
+	noticePeers = 16
+	// peerSilence is how long a daemon without notices counts as alive.
+	peerSilence = 2 * time.Second
+	// outageFresh is how old another daemon's word on the key-value service may be.
+	outageFresh = time.Second
+)
+
+// peer is what is known of another daemon by its datagrams.
+type peer struct {
+	heard     time.Duration
+	storeDown bool
+	draining  bool
+}
+
+// peers holds what is known by datagrams. It is safe for concurrent use.
+type peers struct {
+	mu    sync.Mutex // guards heard; held for look-ups and changes only
+	heard map[string]peer
+}
+
+func newPeers() *peers {
+	return &peers{heard: make(map[string]peer)}
+}
+
+func (p *peers) set(name string, state peer) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.heard[name] = state
+}
+
+func (p *peers) get(name string) (peer, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	state, ok := p.heard[name]
+	return state, ok
+}
+
+// noticePeriod returns the time between two notices in a fleet of n daemons.
+func noticePeriod(n int) time.Duration {
+	return noticeEvery * time.Duration(max(n, noticePeers)) / noticePeers
+}
+
+func (g *Gateway) runNotices(ctx context.Context) {
+	for {
+		members := g.keeper.Members()
+		if !clock.Sleep(ctx, noticePeriod(len(members))) {
+			return
+		}
+		g.sendNotices(members)
+	}
+}
+
+// sendNotices tells each daemon about this one's use of its engines, and about
+// the engines of this one.
+func (g *Gateway) sendNotices(members []fleet.Member) {
+	self := g.keeper.Self()
+	uses := make(map[string][]mesh.EngineUse)
+	for _, use := range g.locator.TakeUses() {
+		owner, ok := g.keeper.Owner(use.Engine)
+		if !ok {
+			continue
+		}
+		if owner.Name == self.Name {
+			g.orders.Use(self.Name, use.Engine, use.Running, use.Uses)
+			continue
+		}
+		uses[owner.Name] = append(uses[owner.Name], useMessage(use))
+	}
+	states := g.orders.States()
+	messages := make([]mesh.EngineState, 0, len(states))
+	for _, state := range states {
+		g.locator.TakeState(state)
+		messages = append(messages, stateMessage(state))
+	}
+	for _, m := range members {
+		if m.Name == self.Name {
+			continue
+		}
+		g.mesh.Send(m.Mesh, mesh.Packet{Notice: &mesh.Notice{
+			StoreDown: g.storeDown.Load(),
+			Draining:  g.draining.Load(),
+			Uses:      uses[m.Name],
+			States:    messages,
+		}})
+	}
+}
+
+// receive takes over a datagram.
+func (g *Gateway) receive(packet mesh.Packet) {
+	switch {
+	case packet.Notice != nil:
+		g.receiveNotice(packet.From, packet.Notice)
+	case packet.Ask != nil:
+		ask := packet.Ask
+		adapter := topology.Adapter{Model: ask.Model, Name: ask.Adapter}
+		status := g.orders.Ask(packet.From, ask.Engine, adapter, ask.Version, ask.Weight)
+		g.tell(packet.From, orders.News{Engine: ask.Engine, Adapter: adapter, Version: ask.Version, Status: status})
+	case packet.News != nil:
+		news := packet.News
+		g.locator.Told(orders.News{
+			Engine:  news.Engine,
+			Adapter: topology.Adapter{Model: news.Model, Name: news.Adapter},
+			Version: news.Version,
+			Status:  residency.Status(news.Status),
+		})
+	}
+}
+
+func (g *Gateway) receiveNotice(from string, notice *mesh.Notice) {
+	g.peers.set(from, peer{heard: clock.Boot(), storeDown: notice.StoreDown, draining: notice.Draining})
+	for _, use := range notice.Uses {
+		g.orders.Use(from, use.Engine, use.Running, usesOf(use))
+	}
+	for _, state := range notice.States {
+		g.locator.TakeState(stateOf(state))
+	}
+}
+
+// ask passes an ask for an adapter on to the owner of the engine.
+func (g *Gateway) ask(engine string, adapter topology.Adapter, version int64, weight float64) bool {
+	owner, ok := g.keeper.Owner(engine)
+	if !ok {
+		return false
+	}
+	self := g.keeper.Self()
+	if owner.Name == self.Name {
+		status := g.orders.Ask(self.Name, engine, adapter, version, weight)
+		g.locator.Told(orders.News{Engine: engine, Adapter: adapter, Version: version, Status: status})
+		return true
+	}
+	g.mesh.Send(owner.Mesh, mesh.Packet{Ask: &mesh.Ask{
+		Engine: engine, Model: adapter.Model, Adapter: adapter.Name, Version: version, Weight: weight,
+	}})
+	return true
+}
+
+// tell passes news about an adapter on to an entry.
+func (g *Gateway) tell(entry string, news orders.News) {
+	if entry == g.settings.Load().VM {
+		g.locator.Told(news)
+		return
+	}
+	for _, m := range g.keeper.Members() {
+		if m.Name == entry {
+			g.mesh.Send(m.Mesh, mesh.Packet{News: &mesh.News{
+				Engine: news.Engine, Model: news.Adapter.Model, Adapter: news.Adapter.Name, Version: news.Version, Status: int(news.Status),
+			}})
+			return
+		}
+	}
+}
+
+// storeUnreachable reports whether all other daemons have just said that they
+// can't reach the key-value service, and this one can't either.
+func (g *Gateway) storeUnreachable() bool {
+	if !g.storeDown.Load() {
+		return false
+	}
+	now := clock.Boot()
+	self := g.settings.Load().VM
+	others := 0
+	for _, m := range g.keeper.Members() {
+		if m.Name == self {
+			continue
+		}
+		p, ok := g.peers.get(m.Name)
+		if !ok || !p.storeDown || now-p.heard > outageFresh {
+			return false
+		}
+		others++
+	}
+	return others > 0
+}
+
+func useMessage(use locator.EngineUse) mesh.EngineUse {
+	message := mesh.EngineUse{Engine: use.Engine, Running: use.Running}
+	for _, u := range use.Uses {
+		message.Adapters = append(message.Adapters, mesh.AdapterUse{
+			Model: u.Adapter.Model, Adapter: u.Adapter.Name, Count: u.Count, Running: u.Running,
+		})
+	}
+	return message
+}
+
+func usesOf(message mesh.EngineUse) []residency.Use {
+	uses := make([]residency.Use, 0, len(message.Adapters))
+	for _, u := range message.Adapters {
+		uses = append(uses, residency.Use{
+			Adapter: topology.Adapter{Model: u.Model, Name: u.Adapter}, Count: u.Count, Running: u.Running,
+		})
+	}
+	return uses
+}
+
+func stateMessage(state orders.State) mesh.EngineState {
+	message := mesh.EngineState{
+		Engine: state.Engine, Born: state.Born, Orders: state.Orders, Running: state.Running, Queue: state.Queue,
+	}
+	for _, held := range state.Held {
+		message.Held = append(message.Held, mesh.HeldAdapter{Model: held.Adapter.Model, Adapter: held.Adapter.Name, Version: held.Version})
+	}
+	return message
+}
+
+func stateOf(message mesh.EngineState) orders.State {
+	state := orders.State{
+		Engine: message.Engine, Born: message.Born, Orders: message.Orders, Running: message.Running, Queue: message.Queue,
+	}
+	for _, held := range message.Held {
+		state.Held = append(state.Held, residency.Held{
+			Adapter: topology.Adapter{Model: held.Model, Name: held.Adapter}, Version: held.Version,
+		})
+	}
+	return state
+}
--- /dev/null
+++ b/internal/gateway/servers.go
@@ -0,0 +1,130 @@
+package gateway
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/barleylift/barleylift/internal/hop"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+)
+
+// Limits of the connections of callers.
+const (
+	// headerTimeout and maxHeader stay above what any configuration has set.
+	headerTimeout = 10 * time.Second
+	maxHeader     = 64 << 10 // bytes
+	// idleTimeout is longer than callers keep an idle connection, so that they
+	// close it and no request crosses a close.
+	idleTimeout = 60 * time.Second
+)
+
+// server is one listening address with its handler.
+type server struct {
+	name     string
+	http     *http.Server
+	listener net.Listener
+}
+
+// servers are all listening addresses of a daemon. The first one is that of
+// callers' requests.
+type servers struct {
+	gateway *Gateway
+	list    []server
+}
+
+// listen binds all addresses.
+func (g *Gateway) listen() (*servers, error) {
+	s := g.settings.Load()
+	all := &servers{gateway: g}
+	control := http.NewServeMux()
+	control.HandleFunc("GET /status", g.serveStatus)
+	pages := http.NewServeMux()
+	pages.Handle("GET /metrics", promhttp.HandlerFor(g.options.Registry, promhttp.HandlerOpts{}))
+	addresses := []struct {
+		name    string
+		address string
+		handler http.Handler
+	}{
+		{"entry", s.Entry.String(), g.relay},
+		{"directory", s.Directory.String(), g.platform.DirectoryHandler(g)},
+		{"readiness", s.Readiness.String(), g.platform.ReadyHandler(g)},
+		{"status", s.Status.String(), control},
+		{"metrics", g.options.Metrics, pages},
+	}
+	config := net.ListenConfig{KeepAliveConfig: hop.KeepAlive, Control: hop.Control}
+	for _, a := range addresses {
+		if a.address == "" || a.name == "status" && !s.Status.IsValid() {
+			continue
+		}
+		listener, err := config.Listen(context.Background(), "tcp4", a.address)
+		if err != nil {
+			return nil, &SettingError{a.name, err.Error()}
+		}
+		all.list = append(all.list, server{name: a.name, listener: listener, http: &http.Server{
+			Handler:           a.handler,
+			ReadHeaderTimeout: headerTimeout,
+			IdleTimeout:       idleTimeout,
+			MaxHeaderBytes:    maxHeader,
+		}})
+	}
+	return all, nil
+}
+
+// serve serves all addresses in the background.
+func (s *servers) serve() {
+	for _, one := range s.list {
+		go func() {
+			if err := one.http.Serve(one.listener); err != nil && !errors.Is(err, http.ErrServerClosed) {
+				s.gateway.log.Error("listener ended", "name", one.name, "error", err)
+			}
+		}()
+	}
+}
+
+// shutdown closes idle connections of callers and waits for requests in flight
+// until ctx ends; then it closes all other addresses.
+func (s *servers) shutdown(ctx context.Context) {
+	for _, one := range s.list {
+		if err := one.http.Shutdown(ctx); err != nil {
+			s.gateway.log.Warn("requests were still in flight at the end", "name", one.name, "error", err)
+		}
+	}
+}
+
+// statusMessage is the daemon's state, for operators.
+type statusMessage struct {
+	VM            string   `json:"vm"`
+	Boot          int64    `json:"boot"`
+	Version       int64    `json:"version"`
+	StoreRevision int64    `json:"store_revision"`
+	StoreDown     bool     `json:"store_down"`
+	Draining      bool     `json:"draining"`
+	InFlight      int64    `json:"in_flight"`
+	Engines       []string `json:"engines"`
+	Members       []string `json:"members"`
+}
+
+func (g *Gateway) serveStatus(w http.ResponseWriter, _ *http.Request) {
+	message := statusMessage{
+		VM:            g.settings.Load().VM,
+		Boot:          g.boot,
+		StoreRevision: g.mirror.Revision(),
+		StoreDown:     g.storeDown.Load(),
+		Draining:      g.draining.Load(),
+		InFlight:      g.relay.InFlight(),
+		Engines:       g.keeper.Mine(),
+	}
+	if table := g.relay.Table(); table != nil {
+		message.Version = table.Version()
+	}
+	for _, m := range g.keeper.Members() {
+		message.Members = append(message.Members, m.Name)
+	}
+	w.Header().Set("Content-Type", "application/json")
+	// An operator that has left does not read the answer.
+	_ = json.NewEncoder(w).Encode(message)
+}
--- /dev/null
+++ b/internal/hop/socket.go
@@ -0,0 +1,50 @@
+package hop
+
+import (
+	"net"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// KeepAlive finds a connection that has gone silent within about 3 s, although
+// neither side closed it.
+var KeepAlive = net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 2}
+
+// unackedTimeout ends a connection on which sent bytes stay unacknowledged. It
+// leaves room for several retransmissions on a link that loses packets.
+const unackedTimeout = 3 * time.Second
+
+// Control sets TCP_USER_TIMEOUT on a socket before it connects or listens.
+func Control(_, _ string, raw syscall.RawConn) error {
+	var failure error
+	err := raw.Control(func(fd uintptr) {
+		failure = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unackedTimeout.Milliseconds()))
+	})
+	if err != nil {
+		return err
+	}
+	return failure
+}
+
+// quiet reports whether nothing has arrived on an idle connection, not even
+// its end.
+func quiet(conn net.Conn) bool {
+	source, ok := conn.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	raw, err := source.SyscallConn()
+	if err != nil {
+		return false
+	}
+	silent := false
+	err = raw.Read(func(fd uintptr) bool {
+		var probe [1]byte
+		_, _, peekErr := unix.Recvfrom(int(fd), probe[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		silent = peekErr == unix.EAGAIN
+		return true
+	})
+	return err == nil && silent
+}
--- a/internal/limit/budget.go
+++ b/internal/limit/budget.go
@@ -12,21 +12,21 @@
 
 // RetryBudgetConfig holds the limits of a RetryBudget.
 type RetryBudgetConfig struct {
-	// Share is the number of retries allowed for each success within the window.
+	// Share is the number of retries allowed for each earning call within the window.
 	Share float64
-	// Window is how long a success or a retry counts.
+	// Window is how long an earning call or a retry counts.
 	Window time.Duration
-	// Floor is the number of retries allowed within the window without any success.
+	// Floor is the number of retries allowed within the window without any earning call.
 	Floor int
 }
 
-// RetryBudget bounds retries to a share of the recent successes, so that
+// RetryBudget bounds retries to a share of the recent earning calls, so that
 // retries cannot multiply the load on an upstream that fails as a whole. It is
 // safe for concurrent use.
 type RetryBudget struct {
 	config RetryBudgetConfig
 
-	// mu guards slices. It is held for a few instructions and never while
+	// mu guards slices and config.Floor. It is held for a few instructions and never while
 	// another lock is taken.
 	mu     sync.Mutex
 	slices [budgetSlices]budgetSlice
@@ -34,12 +34,12 @@
 
 // budgetSlice counts the events of one part of the window.
 type budgetSlice struct {
-	index     int64
-	successes int
-	retries   int
+	index   int64
+	earned  int
+	retries int
 }
 
-// NewRetryBudget returns a budget without any successes.
+// NewRetryBudget returns a budget without any earning call.
 func NewRetryBudget(config RetryBudgetConfig) (*RetryBudget, error) {
 	if config.Share < 0 || config.Share > 1 {
 		return nil, fmt.Errorf("limit: Share %v: want 0 to 1", config.Share)
@@ -53,30 +53,50 @@
 	return &RetryBudget{config: config}, nil
 }
 
-// Success counts one call that succeeded.
-func (b *RetryBudget) Success(now time.Time) {
+// SetFloor changes the number of retries allowed without any earning call.
+func (b *RetryBudget) SetFloor(floor int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.slice(now).successes++
+	b.config.Floor = max(floor, 0)
+}
+
+// Earn counts one call that adds to the budget: a success, or where failures
+// are not the callee's, any first attempt.
+func (b *RetryBudget) Earn(now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.slice(now).earned++
 }
 
 // Allow reports whether one more retry is within the budget, and counts it if so.
 func (b *RetryBudget) Allow(now time.Time) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if !b.left(now) {
+		return false
+	}
+	b.slice(now).retries++
+	return true
+}
+
+// Left reports whether one more retry is within the budget, without counting it.
+func (b *RetryBudget) Left(now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.left(now)
+}
+
+// left adds up the window. The caller holds mu, because the slices are read.
+func (b *RetryBudget) left(now time.Time) bool {
 	current := b.slice(now)
-	var successes, retries int
+	var earned, retries int
 	for _, s := range b.slices {
 		if s.index > current.index-budgetSlices && s.index <= current.index {
-			successes += s.successes
+			earned += s.earned
 			retries += s.retries
 		}
 	}
-	if retries >= b.config.Floor+int(b.config.Share*float64(successes)) {
-		return false
-	}
-	current.retries++
-	return true
+	return retries < b.config.Floor+int(b.config.Share*float64(earned))
 }
 
 // slice returns the slice of now, emptied if it counted an earlier window. The
--- a/internal/limit/budget_test.go
+++ b/internal/limit/budget_test.go
@@ -22,7 +22,7 @@
 		t.Errorf("without successes: %d retries, want the floor of 1", got)
 	}
 	for range 10 {
-		budget.Success(now)
+		budget.Earn(now)
 	}
 	if got := allowed(); got != 2 {
 		t.Errorf("after 10 successes: %d more retries, want 2", got)
--- /dev/null
+++ b/internal/locator/locator.go
@@ -0,0 +1,272 @@
+package locator
+
+import (
+	"errors"
+	"log/slog"
+	"sync"
+	"time"
+
+	"github.com/barleylift/barleylift/internal/clock"
+	"github.com/barleylift/barleylift/internal/orders"
+	"github.com/barleylift/barleylift/internal/residency"
+	"github.com/barleylift/barleylift/internal/steer"
+	"github.com/barleylift/barleylift/internal/topology"
+	"github.com/cespare/xxhash/v2"
+)
+
+// Config holds the dependencies of a Locator.
+type Config struct {
+	// Zone is this daemon's availability zone, and Name its VM.
+	Zone string
+	Name string
+	// Ask passes an ask on to the owner of an engine. It returns false if no
+	// owner is known. The answer comes by Told, perhaps within the call.
+	Ask func(engine string, adapter topology.Adapter, version int64, weight float64) bool
+	Log *slog.Logger
+}
+
+// Locator is an entry's view of the upstreams. It is safe for concurrent use.
+type Locator struct {
+	config Config
+	log    *slog.Logger
+
+	// mu guards the fields below; it is not held during I/O.
+	mu       sync.Mutex
+	views    map[string]*view
+	services map[string]map[string]*view
+	versions map[topology.Adapter]versions
+	waits    map[waitKey]*wait
+}
+
+// New returns a Locator without upstreams.
+func New(config Config) (*Locator, error) {
+	if config.Ask == nil || config.Log == nil {
+		return nil, errors.New("locator: Ask and Log are required")
+	}
+	return &Locator{
+		config:   config,
+		log:      config.Log.With("part", "locator"),
+		views:    make(map[string]*view),
+		services: make(map[string]map[string]*view),
+		versions: make(map[topology.Adapter]versions),
+		waits:    make(map[waitKey]*wait),
+	}, nil
+}
+
+// SetUpstream takes over a registration that is new or has changed.
+func (l *Locator) SetUpstream(upstream topology.Upstream) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	v := l.views[upstream.ID]
+	if v != nil && v.upstream.Service != upstream.Service {
+		l.remove(upstream.ID)
+		v = nil
+	}
+	if v != nil {
+		v.update(clock.Boot(), upstream)
+		return
+	}
+	v = newView(upstream)
+	l.views[upstream.ID] = v
+	if l.services[upstream.Service] == nil {
+		l.services[upstream.Service] = make(map[string]*view)
+	}
+	l.services[upstream.Service][upstream.ID] = v
+}
+
+// RemoveUpstream forgets an upstream that is gone.
+func (l *Locator) RemoveUpstream(id string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.remove(id)
+}
+
+func (l *Locator) remove(id string) {
+	v := l.views[id]
+	if v == nil {
+		return
+	}
+	delete(l.views, id)
+	delete(l.services[v.upstream.Service], id)
+}
+
+// Upstream returns the registration of an upstream that may get requests.
+func (l *Locator) Upstream(id string) (topology.Upstream, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	v := l.views[id]
+	if v == nil || v.upstream.Leaving {
+		return topology.Upstream{}, false
+	}
+	return v.upstream, true
+}
+
+// TakeState takes over what the owner of an engine told.
+func (l *Locator) TakeState(state orders.State) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if v := l.views[state.Engine]; v != nil {
+		v.takeState(clock.Boot(), state)
+	}
+}
+
+// Engines returns what is known of the engines of a service for a request for
+// an adapter, without those that are leaving, lack the base model or were
+// tried before.
+func (l *Locator) Engines(service string, adapter topology.Adapter, tried []string) []steer.Engine {
+	now := clock.Boot()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	needed, allowed := l.versions[adapter].at(now)
+	list := make([]steer.Engine, 0, len(l.services[service]))
+	for id, v := range l.services[service] {
+		if v.upstream.Leaving || containsString(tried, id) || !v.holdsModel(adapter.Model) {
+			continue
+		}
+		version, held := v.held[adapter]
+		list = append(list, steer.Engine{
+			ID:        id,
+			Running:   v.load(now),
+			Slots:     v.upstream.Slots,
+			Holds:     held && version >= needed,
+			Outdated:  held && version < needed && version >= allowed,
+			Orderless: now < v.orderlessUntil,
+			Queue:     v.state.Queue,
+			Suspect:   v.failures.get(now) >= suspectFailures,
+		})
+	}
+	return list
+}
+
+// Replicas returns what is known of the replicas of a plain service.
+func (l *Locator) Replicas(service string, tried []string) []steer.Replica {
+	now := clock.Boot()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	list := make([]steer.Replica, 0, len(l.services[service]))
+	for id, v := range l.services[service] {
+		if v.upstream.Leaving || containsString(tried, id) {
+			continue
+		}
+		failures := v.failures.get(now)
+		list = append(list, steer.Replica{
+			ID:       id,
+			Running:  v.running,
+			Slots:    v.upstream.Slots,
+			Near:     v.upstream.Zone == l.config.Zone,
+			Failures: failures / (failures + 1),
+			Latency:  v.latency.Seconds(),
+			Tie:      xxhash.Sum64String(l.config.Name + id),
+		})
+	}
+	return list
+}
+
+// Version returns the version of an adapter that an engine is believed to hold.
+func (l *Locator) Version(engine string, adapter topology.Adapter) int64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if v := l.views[engine]; v != nil {
+		return v.held[adapter]
+	}
+	return 0
+}
+
+// Begin counts a request that is about to be sent to an upstream.
+func (l *Locator) Begin(upstream string, adapter topology.Adapter) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	v := l.views[upstream]
+	if v == nil {
+		return
+	}
+	v.running++
+	if adapter.Name != "" {
+		u := v.use(adapter)
+		u.count++
+		u.running++
+	}
+}
+
+// End takes over that a request to an upstream has ended.
+func (l *Locator) End(upstream string, adapter topology.Adapter) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	v := l.views[upstream]
+	if v == nil {
+		return
+	}
+	v.running--
+	if adapter.Name != "" {
+		v.use(adapter).running--
+	}
+}
+
+// Succeeded takes over that an upstream served a request, and how long the
+// work took; 0 if that says nothing.
+func (l *Locator) Succeeded(upstream string, took time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	v := l.views[upstream]
+	if v == nil {
+		return
+	}
+	v.failures.add(clock.Boot(), -successCredit)
+	if took > 0 {
+		const weight = 0.1
+		v.latency += time.Duration(weight * float64(took-v.latency))
+	}
+}
+
+// successCredit is what a success takes off the aged failures.
+const successCredit = 0.25
+
+// Failed takes over that an upstream failed a request on its own account.
+func (l *Locator) Failed(upstream string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if v := l.views[upstream]; v != nil {
+		v.failures.add(clock.Boot(), 1)
+	}
+}
+
+// NotHeld takes over that an engine refused a request because it does not
+// hold the adapter in the version.
+func (l *Locator) NotHeld(engine string, adapter topology.Adapter) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if v := l.views[engine]; v != nil {
+		delete(v.held, adapter)
+	}
+}
+
+// EngineUse is this entry's use of one engine since the last notice.
+type EngineUse struct {
+	Engine  string
+	Running int
+	Uses    []residency.Use
+}
+
+// TakeUses returns the use of each engine that was used since the last call.
+func (l *Locator) TakeUses() []EngineUse {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var list []EngineUse
+	for id, v := range l.views {
+		uses := v.takeUses()
+		if len(v.upstream.Models) == 0 && len(uses) == 0 {
+			continue
+		}
+		list = append(list, EngineUse{Engine: id, Running: v.running, Uses: uses})
+	}
+	return list
+}
+
+func containsString(list []string, s string) bool {
+	for _, other := range list {
+		if other == s {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/mesh/mesh.go
@@ -0,0 +1,96 @@
+package mesh
+
+import (
+	"errors"
+	"log/slog"
+	"net"
+	"net/netip"
+
+	"github.com/fxamacker/cbor/v2"
+)
+
+// Config holds the dependencies of a Mesh.
+type Config struct {
+	// Listen is this daemon's address for datagrams.
+	Listen netip.AddrPort
+	// From and Boot are put into each packet.
+	From string
+	Boot int64
+	// Receive is called for each packet, from one goroutine.
+	Receive func(Packet)
+	// Bytes counts what is sent and received; it may be nil.
+	Bytes func(direction string, n int)
+	Log   *slog.Logger
+}
+
+// Mesh is a daemon's socket for datagrams. It is safe for concurrent use.
+type Mesh struct {
+	config Config
+	log    *slog.Logger
+	conn   *net.UDPConn
+}
+
+// Open binds the socket.
+func Open(config Config) (*Mesh, error) {
+	if config.Receive == nil || config.Log == nil || config.From == "" {
+		return nil, errors.New("mesh: Receive, Log and From are required")
+	}
+	if config.Bytes == nil {
+		config.Bytes = func(string, int) {}
+	}
+	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(config.Listen))
+	if err != nil {
+		return nil, err
+	}
+	return &Mesh{config: config, log: config.Log.With("part", "mesh"), conn: conn}, nil
+}
+
+// Run receives packets until Close.
+func (m *Mesh) Run() {
+	buffer := make([]byte, 64<<10)
+	for {
+		n, _, err := m.conn.ReadFromUDPAddrPort(buffer)
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			// A port-unreachable message of an earlier send ends up here.
+			continue
+		}
+		m.config.Bytes("in", n)
+		var packet Packet
+		if err := cbor.Unmarshal(buffer[:n], &packet); err != nil || packet.From == "" {
+			m.log.Debug("unreadable datagram dropped", "error", err)
+			continue
+		}
+		m.config.Receive(packet)
+	}
+}
+
+// Send sends a packet to the address of another daemon's mesh. Its loss is not
+// told.
+func (m *Mesh) Send(to string, packet Packet) {
+	address, err := netip.ParseAddrPort(to)
+	if err != nil {
+		m.log.Warn("member has no usable address", "address", to, "error", err)
+		return
+	}
+	packet.From = m.config.From
+	packet.Boot = m.config.Boot
+	datagrams, err := encode(packet)
+	if err != nil {
+		m.log.Error("packet not encoded", "error", err)
+		return
+	}
+	for _, datagram := range datagrams {
+		m.config.Bytes("out", len(datagram))
+		if _, err := m.conn.WriteToUDPAddrPort(datagram, address); err != nil {
+			m.log.Debug("datagram not sent", "to", to, "error", err)
+		}
+	}
+}
+
+// Close closes the socket and ends Run.
+func (m *Mesh) Close() error {
+	return m.conn.Close()
+}
--- /dev/null
+++ b/internal/metrics/gateway.go
@@ -0,0 +1,88 @@
+package metrics
+
+import (
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+)
+
+// Gateway is every collector of a daemon that serves callers by routes. The
+// labels route and service come from the accepted configuration.
+type Gateway struct {
+	requests   *prometheus.CounterVec
+	duration   *prometheus.HistogramVec
+	firstEvent *prometheus.HistogramVec
+	loadWait   *prometheus.HistogramVec
+	resent     *prometheus.CounterVec
+	ordered    *prometheus.CounterVec
+	reported   *prometheus.CounterVec
+	kvCalls    *prometheus.CounterVec
+	meshBytes  *prometheus.CounterVec
+	version    prometheus.Gauge
+}
+
+// NewGateway registers all collectors with the registerer.
+func NewGateway(registerer prometheus.Registerer) *Gateway {
+	g := &Gateway{
+		requests:   counter("requests_total", "Requests by route and outcome.", "route", "outcome"),
+		duration:   histogram("request_seconds", "Time from the arrival of a request to the end of its answer.", latencyBuckets, "route"),
+		firstEvent: histogram("first_event_seconds", "Time from the arrival of a request to the first event of its answer.", latencyBuckets, "route"),
+		loadWait:   histogram("adapter_wait_seconds", "Time that a request waited for its adapter at one engine.", latencyBuckets, "route"),
+		resent:     counter("repeated_sends_total", "Sends beyond the first one of a request, by service.", "service", "kind"),
+		ordered:    counter("engine_orders_total", "Orders to engines by kind and result.", "kind", "result"),
+		reported:   counter("engine_reports_total", "Questions to engines for their report, by result.", "result"),
+		kvCalls:    counter("gateway_kv_calls_total", "Calls to the key-value service by kind and result.", "kind", "result"),
+		meshBytes:  counter("mesh_bytes_total", "Bytes of datagrams between daemons by direction.", "direction"),
+		version: prometheus.NewGauge(prometheus.GaugeOpts{
+			Namespace: namespace, Name: "routing_version", Help: "Configuration version in force.",
+		}),
+	}
+	registerer.MustRegister(g.requests, g.duration, g.firstEvent, g.loadWait, g.resent, g.ordered, g.reported, g.kvCalls, g.meshBytes, g.version)
+	return g
+}
+
+// Ended counts a request that has ended.
+func (g *Gateway) Ended(route, outcome string, took time.Duration) {
+	g.requests.WithLabelValues(route, outcome).Inc()
+	g.duration.WithLabelValues(route).Observe(took.Seconds())
+}
+
+// FirstEvent records the time to the first event of a stream.
+func (g *Gateway) FirstEvent(route string, took time.Duration) {
+	g.firstEvent.WithLabelValues(route).Observe(took.Seconds())
+}
+
+// LoadWait records the time that a request waited for its adapter.
+func (g *Gateway) LoadWait(route string, took time.Duration) {
+	g.loadWait.WithLabelValues(route).Observe(took.Seconds())
+}
+
+// Resent counts a send beyond the first one of a request.
+func (g *Gateway) Resent(service, kind string) {
+	g.resent.WithLabelValues(service, kind).Inc()
+}
+
+// Ordered counts an order to an engine.
+func (g *Gateway) Ordered(kind, result string) {
+	g.ordered.WithLabelValues(kind, result).Inc()
+}
+
+// Reported counts a question for an engine's report.
+func (g *Gateway) Reported(result string) {
+	g.reported.WithLabelValues(result).Inc()
+}
+
+// KVCall counts a call to the key-value service.
+func (g *Gateway) KVCall(kind, result string) {
+	g.kvCalls.WithLabelValues(kind, result).Inc()
+}
+
+// MeshBytes counts bytes of datagrams between daemons.
+func (g *Gateway) MeshBytes(direction string, n int) {
+	g.meshBytes.WithLabelValues(direction).Add(float64(n))
+}
+
+// Version sets the configuration version in force.
+func (g *Gateway) Version(version int64) {
+	g.version.Set(float64(version))
+}
--- /dev/null
+++ b/internal/orders/pool.go
@@ -0,0 +1,171 @@
+package orders
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"sync"
+	"time"
+
+	"github.com/barleylift/barleylift/internal/clock"
+	"github.com/barleylift/barleylift/internal/fleet"
+	"github.com/barleylift/barleylift/internal/residency"
+	"github.com/barleylift/barleylift/internal/topology"
+)
+
+// Sender is who sends an order, as the engine is told.
+type Sender struct {
+	// Holder is the VM's name.
+	Holder string
+	Token  fleet.Token
+}
+
+// ErrOtherProcess means that another process than the addressed one answered.
+var ErrOtherProcess = errors.New("another process has the engine's address")
+
+// ErrNotAllowed stops an order that this daemon may not send any more.
+var ErrNotAllowed = errors.New("this daemon may not order the engine now")
+
+// Client speaks to engines. It makes each call once.
+type Client interface {
+	Report(ctx context.Context, engine topology.Upstream) (topology.EngineReport, error)
+	// Order sends an order. The gate is asked just before the first byte is
+	// written; its error is returned when it stops the order. ErrOtherProcess
+	// is returned when the engine is gone from its address.
+	Order(ctx context.Context, engine topology.Upstream, order residency.Order, sender Sender, gate func() error) (residency.Result, error)
+}
+
+// Config holds the dependencies of a Pool.
+type Config struct {
+	Client Client
+	// Holder is this VM's name.
+	Holder string
+	// MayOrder returns the token for an order to an engine at this moment.
+	MayOrder func(engine string) (fleet.Token, bool)
+	// Tell passes an adapter's status on to an entry.
+	Tell func(entry string, news News)
+	// Ordered and Reported count calls to engines; they may be nil.
+	Ordered  func(kind, result string)
+	Reported func(result string)
+	Log      *slog.Logger
+}
+
+// News is how an adapter that an entry asked for stands.
+type News struct {
+	Engine  string
+	Adapter topology.Adapter
+	// Version is the version that was asked for.
+	Version int64
+	Status  residency.Status
+}
+
+// Assignment is an engine that this daemon is to order.
+type Assignment struct {
+	Engine topology.Upstream
+	Spec   residency.Spec
+}
+
+// State is what the owner of an engine tells the entries about it.
+type State struct {
+	Engine string
+	Born   int64
+	Orders int64
+	// Running is the number of requests that all entries run there.
+	Running int
+	// Queue is the number of adapters that wait for a load.
+	Queue int
+	Held  []residency.Held
+}
+
+// Pool runs the workers of the engines that this daemon owns. It is safe for
+// concurrent use.
+type Pool struct {
+	config Config
+	log    *slog.Logger
+
+	// mu guards workers; it is held for look-ups and changes only.
+	mu      sync.RWMutex
+	workers map[string]*worker
+}
+
+// New returns a Pool without engines.
+func New(config Config) (*Pool, error) {
+	if config.Client == nil || config.MayOrder == nil || config.Tell == nil || config.Log == nil {
+		return nil, errors.New("orders: Client, MayOrder, Tell and Log are required")
+	}
+	if config.Ordered == nil {
+		config.Ordered = func(string, string) {}
+	}
+	if config.Reported == nil {
+		config.Reported = func(string) {}
+	}
+	return &Pool{config: config, log: config.Log.With("part", "orders"), workers: make(map[string]*worker)}, nil
+}
+
+// Assign replaces the engines that this daemon orders. Workers of others end.
+func (p *Pool) Assign(ctx context.Context, assignments []Assignment) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	kept := make(map[string]*worker, len(assignments))
+	for _, a := range assignments {
+		w := p.workers[a.Engine.ID]
+		if w == nil {
+			w = newWorker(p, a)
+			go w.run(ctx)
+		} else {
+			w.update(a)
+		}
+		kept[a.Engine.ID] = w
+	}
+	for id, w := range p.workers {
+		if kept[id] == nil {
+			w.stop()
+		}
+	}
+	p.workers = kept
+}
+
+func (p *Pool) worker(engine string) *worker {
+	p.mu.RLock()
+	defer p.mu.RUnlock()
+	return p.workers[engine]
+}
+
+// Ask takes over that requests at an entry wait for an adapter, and returns
+// how it stands. Later changes are told by Config.Tell.
+func (p *Pool) Ask(entry, engine string, adapter topology.Adapter, version int64, weight float64) residency.Status {
+	w := p.worker(engine)
+	if w == nil {
+		return residency.Elsewhere
+	}
+	return w.ask(clock.Boot(), entry, adapter, version, weight)
+}
+
+// Use takes over an entry's use of an engine.
+func (p *Pool) Use(entry, engine string, running int, uses []residency.Use) {
+	if w := p.worker(engine); w != nil {
+		w.use(clock.Boot(), entry, running, uses)
+	}
+}
+
+// States returns what is to be told about the engines of this daemon.
+func (p *Pool) States() []State {
+	p.mu.RLock()
+	workers := make([]*worker, 0, len(p.workers))
+	for _, w := range p.workers {
+		workers = append(workers, w)
+	}
+	p.mu.RUnlock()
+	var states []State
+	now := clock.Boot()
+	for _, w := range workers {
+		if state, ok := w.state(now); ok {
+			states = append(states, state)
+		}
+	}
+	return states
+}
+
+// callTimeout bounds a report or an order. Engines answer within some
+// milliseconds; one that has not may carry an order out later.
+const callTimeout = 400 * time.Millisecond
--- /dev/null
+++ b/internal/orders/worker.go
@@ -0,0 +1,280 @@
+package orders
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"sync"
+	"time"
+
+	"github.com/barleylift/barleylift/internal/clock"
+	"github.com/barleylift/barleylift/internal/fleet"
+	"github.com/barleylift/barleylift/internal/residency"
+	"github.com/barleylift/barleylift/internal/topology"
+)
+
+// notAllowedWait is how soon a worker looks again whether it may order.
+const notAllowedWait = 100 * time.Millisecond
+
+// runningSilence is how long an entry's count of running requests is believed.
+const runningSilence = 3 * time.Second
+
+// worker orders one engine.
+type worker struct {
+	pool  *Pool
+	log   *slog.Logger
+	wake  chan struct{}
+	ended chan struct{}
+	once  sync.Once
+
+	// mu guards the fields below; it is not held during I/O.
+	mu       sync.Mutex
+	upstream topology.Upstream
+	engine   *residency.Engine
+	token    fleet.Token
+	allowed  bool
+	askers   map[asked]map[string]bool
+	running  map[string]entryRunning
+}
+
+// asked is what entries wait for.
+type asked struct {
+	adapter topology.Adapter
+	version int64
+}
+
+// entryRunning is an entry's number of running requests and when it was told.
+type entryRunning struct {
+	requests int
+	at       time.Duration
+}
+
+func newWorker(pool *Pool, a Assignment) *worker {
+	w := &worker{
+		pool:     pool,
+		log:      pool.log.With("engine", a.Engine.ID),
+		wake:     make(chan struct{}, 1),
+		ended:    make(chan struct{}),
+		upstream: a.Engine,
+		engine:   residency.NewEngine(a.Spec),
+		askers:   make(map[asked]map[string]bool),
+		running:  make(map[string]entryRunning),
+	}
+	w.engine.Restarted(a.Engine.Born)
+	return w
+}
+
+func (w *worker) stop() {
+	w.once.Do(func() { close(w.ended) })
+}
+
+func (w *worker) signal() {
+	select {
+	case w.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (w *worker) update(a Assignment) {
+	w.mu.Lock()
+	if a.Engine.Born > w.engine.Born() {
+		w.log.Info("engine started anew", "born", a.Engine.Born)
+		w.engine.Restarted(a.Engine.Born)
+	}
+	if a.Engine.Born >= w.upstream.Born {
+		w.upstream = a.Engine
+	}
+	w.engine.SetSpec(a.Spec)
+	w.mu.Unlock()
+	w.signal()
+}
+
+func (w *worker) ask(now time.Duration, entry string, adapter topology.Adapter, version int64, weight float64) residency.Status {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if !w.allowed || w.upstream.Leaving {
+		return residency.Elsewhere
+	}
+	status := w.engine.Status(adapter, version)
+	if status == residency.Ready {
+		return status
+	}
+	w.engine.Want(now, adapter, version, weight)
+	key := asked{adapter, version}
+	if w.askers[key] == nil {
+		w.askers[key] = make(map[string]bool)
+	}
+	w.askers[key][entry] = true
+	w.signal()
+	return status
+}
+
+func (w *worker) use(now time.Duration, entry string, running int, uses []residency.Use) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.engine.Use(now, entry, uses)
+	w.running[entry] = entryRunning{requests: running, at: now}
+}
+
+// state returns what entries are told; false while the engine's state is unknown.
+func (w *worker) state(now time.Duration) (State, bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	orders, known := w.engine.Known()
+	if !known || !w.allowed {
+		return State{}, false
+	}
+	state := State{
+		Engine: w.upstream.ID,
+		Born:   w.engine.Born(),
+		Orders: orders,
+		Queue:  w.engine.Queue(),
+		Held:   w.engine.Held(),
+	}
+	for _, r := range w.running {
+		if now-r.at < runningSilence {
+			state.Running += r.requests
+		}
+	}
+	return state, true
+}
+
+func (w *worker) run(ctx context.Context) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-w.ended:
+			return
+		case <-w.wake:
+		case <-timer.C:
+		}
+		timer.Reset(w.step(ctx))
+	}
+}
+
+// step does what is due and returns the time to the next step.
+func (w *worker) step(ctx context.Context) time.Duration {
+	for ctx.Err() == nil {
+		if !w.checkAllowed() {
+			return notAllowedWait
+		}
+		w.mu.Lock()
+		action := w.engine.Next(clock.Boot())
+		upstream := w.upstream
+		token := w.token
+		w.mu.Unlock()
+		w.tell()
+		switch {
+		case action.Report:
+			w.report(ctx, upstream)
+		case action.Order != nil:
+			w.order(ctx, upstream, *action.Order, token)
+		default:
+			return action.Wait
+		}
+	}
+	return notAllowedWait
+}
+
+// checkAllowed reports whether orders may be sent. With another token, other
+// daemons may have given orders meanwhile.
+func (w *worker) checkAllowed() bool {
+	token, allowed := w.pool.config.MayOrder(w.upstreamID())
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if allowed && token != w.token {
+		w.engine.Forget()
+		w.token = token
+	}
+	if allowed != w.allowed {
+		w.log.Info("right to order changed", "allowed", allowed, "token", int64(token))
+	}
+	w.allowed = allowed && !w.upstream.Leaving
+	if !w.allowed {
+		w.declineAll()
+	}
+	return w.allowed
+}
+
+func (w *worker) upstreamID() string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.upstream.ID
+}
+
+// declineAll tells all askers to go elsewhere. The caller holds mu, because
+// the askers are changed; telling does no I/O that blocks.
+func (w *worker) declineAll() {
+	for key, entries := range w.askers {
+		for entry := range entries {
+			w.pool.config.Tell(entry, News{Engine: w.upstream.ID, Adapter: key.adapter, Version: key.version, Status: residency.Elsewhere})
+		}
+	}
+	clear(w.askers)
+}
+
+// tell passes on what is no longer waiting.
+func (w *worker) tell() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for key, entries := range w.askers {
+		status := w.engine.Status(key.adapter, key.version)
+		if status == residency.Waiting {
+			continue
+		}
+		for entry := range entries {
+			w.pool.config.Tell(entry, News{Engine: w.upstream.ID, Adapter: key.adapter, Version: key.version, Status: status})
+		}
+		delete(w.askers, key)
+	}
+}
+
+func (w *worker) report(ctx context.Context, upstream topology.Upstream) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	report, err := w.pool.config.Client.Report(ctx, upstream)
+	now := clock.Boot()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if err != nil {
+		w.pool.config.Reported("failed")
+		w.log.Info("engine did not report", "error", err)
+		w.engine.NoReport(now)
+		return
+	}
+	w.pool.config.Reported("ok")
+	w.engine.Reported(now, report)
+}
+
+func (w *worker) order(ctx context.Context, upstream topology.Upstream, order residency.Order, token fleet.Token) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	gate := func() error {
+		if current, ok := w.pool.config.MayOrder(upstream.ID); !ok || current != token {
+			return ErrNotAllowed
+		}
+		return nil
+	}
+	started := clock.Boot()
+	result, err := w.pool.config.Client.Order(ctx, upstream, order, Sender{Holder: w.pool.config.Holder, Token: token}, gate)
+	now := clock.Boot()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.log.Info("order sent", "kind", order.Kind.String(), "adapter", order.Adapter.String(), "version", order.Version,
+		"precondition", order.Precondition, "token", int64(token), "result", result.String(), "took_ms", (now - started).Milliseconds(), "error", err)
+	w.pool.config.Ordered(order.Kind.String(), result.String())
+	switch {
+	case errors.Is(err, ErrNotAllowed):
+		return
+	case errors.Is(err, ErrOtherProcess):
+		w.engine.NoReport(now)
+		w.engine.Forget()
+	default:
+		w.engine.Ordered(now, order, result)
+	}
+}
--- /dev/null
+++ b/internal/relay/model.go
@@ -0,0 +1,350 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/barleylift/barleylift/internal/clock"
+	"github.com/barleylift/barleylift/internal/residency"
+	"github.com/barleylift/barleylift/internal/routing"
+	"github.com/barleylift/barleylift/internal/steer"
+	"github.com/barleylift/barleylift/internal/topology"
+)
+
+// Constants of model requests.
+const (
+	// maxLoadWait bounds the wait for an adapter. A load takes some 250 ms; a
+	// request that has waited this long would miss its objective by far, and
+	// its caller is better told when to come back.
+	maxLoadWait = 4 * time.Second
+	// declinedSleep is kept between two choices when an engine's owner declined.
+	declinedSleep = 30 * time.Millisecond
+	// reuseAge is how long a connection may have been idle for a request that
+	// may be repeated.
+	reuseAge = 10 * time.Second
+	// reuseAgeOnce is the same for a request that runs at most once: a
+	// connection that the upstream has just dropped would lose it.
+	reuseAgeOnce = time.Second
+)
+
+// reuse is how long a connection for this request may have been idle.
+func (e *exchange) reuse() time.Duration {
+	if e.route.Idempotent() {
+		return reuseAge
+	}
+	return reuseAgeOnce
+}
+
+// serveModel sends the request to engines until one has answered it.
+func (e *exchange) serveModel() {
+	for !e.over() {
+		choice, ok := e.pickEngine()
+		if !ok {
+			e.giveUp(http.StatusBadGateway, retryAfterBusy, "no engine can take the request")
+			return
+		}
+		if choice.Spread != "" {
+			e.relay.config.Locator.Request(choice.Spread, e.call.Adapter, e.weight())
+		}
+		if choice.Load {
+			ready, again := e.awaitAdapter(choice.Engine)
+			if !again {
+				return
+			}
+			if !ready {
+				continue
+			}
+		}
+		if e.tryEngine(choice.Engine) {
+			return
+		}
+	}
+}
+
+// weight is the request's value in the queue for adapters: more urgent routes
+// weigh more.
+func (e *exchange) weight() float64 {
+	const lowest = 4
+	return float64(1 + max(lowest-e.route.Rank, 0))
+}
+
+// pickEngine chooses an engine. When all were tried, those that only refused
+// are tried again.
+func (e *exchange) pickEngine() (steer.Choice, bool) {
+	engines := e.relay.config.Locator.Engines(e.service.Name, e.call.Adapter, e.tried)
+	if len(engines) == 0 && len(e.tried) > 0 {
+		if !clock.Sleep(e.ctx, declinedSleep) {
+			return steer.Choice{}, false
+		}
+		e.tried = nil
+		engines = e.relay.config.Locator.Engines(e.service.Name, e.call.Adapter, nil)
+	}
+	return steer.Pick(e.call.Adapter, engines)
+}
+
+// awaitAdapter waits for the adapter at an engine. Again tells that the
+// request is to be pursued.
+func (e *exchange) awaitAdapter(engine string) (ready, again bool) {
+	left := maxLoadWait - e.waited
+	if left <= 0 {
+		e.giveUp(http.StatusBadGateway, retryAfterBusy, "the adapter could not be loaded in time")
+		return false, false
+	}
+	started := time.Now()
+	ctx, cancel := context.WithTimeout(e.ctx, left)
+	status := e.relay.config.Locator.Await(ctx, engine, e.call.Adapter, e.weight())
+	if status == residency.Elsewhere {
+		clock.Sleep(ctx, declinedSleep)
+	}
+	cancel()
+	waited := time.Since(started)
+	e.waited += waited
+	e.relay.config.Metrics.LoadWait(e.route.Name, waited)
+	return status == residency.Ready, true
+}
+
+// tryEngine sends the request to an engine and passes its answer on. It
+// returns true when the request has ended.
+func (e *exchange) tryEngine(id string) bool {
+	locator := e.relay.config.Locator
+	upstream, ok := locator.Upstream(id)
+	if !ok {
+		e.tried = append(e.tried, id)
+		return false
+	}
+	if e.sends > 0 && !e.mayRepeat("engine") {
+		e.giveUp(http.StatusBadGateway, retryAfterBudget, e.repeatRefused())
+		return true
+	}
+	e.upstream = id
+	locator.Begin(id, e.call.Adapter)
+	defer locator.End(id, e.call.Adapter)
+	result := e.send(e.ctx, upstream, Sending{
+		Version:   locator.Version(id, e.call.Adapter),
+		Urgency:   e.route.Rank,
+		LastEvent: e.lastEvent,
+	}, e.reuse())
+	e.count(result)
+	if result.err != nil {
+		return e.sendFailed(id, result)
+	}
+	if result.head.NotRun || result.head.Misdirected {
+		e.refusedBy(upstream, result)
+		return false
+	}
+	return e.passOn(upstream, result)
+}
+
+// count takes over what a send means for later ones.
+func (e *exchange) count(result sent) {
+	if result.written {
+		e.sends++
+	}
+	if result.ran {
+		e.runs++
+	}
+}
+
+// repeatRefused names why the request is not sent again.
+func (e *exchange) repeatRefused() string {
+	if e.reason != "" {
+		return e.reason
+	}
+	return "the request may have run and is not sent again"
+}
+
+// sendFailed judges a send without an answer and reports whether the request
+// has ended.
+func (e *exchange) sendFailed(id string, result sent) bool {
+	if e.ctx.Err() != nil {
+		return e.over()
+	}
+	e.relay.log.Info("send failed", "id", e.call.ID, "upstream", id, "written", result.written, "error", result.err)
+	e.relay.config.Locator.Failed(id)
+	e.tried = append(e.tried, id)
+	e.reason = ""
+	if e.runs > 0 && (!e.route.Idempotent() || e.runs >= e.route.MaxAttempts) {
+		e.giveUp(http.StatusBadGateway, 0, "the upstream did not answer: "+result.err.Error())
+		return true
+	}
+	return false
+}
+
+// refusedBy takes over that an engine did not run the request.
+func (e *exchange) refusedBy(upstream topology.Upstream, result sent) {
+	e.relay.log.Info("engine refused a request", "id", e.call.ID, "upstream", upstream.ID, "status", result.response.StatusCode,
+		"adapter", e.call.Adapter.String())
+	if result.head.Misdirected {
+		e.relay.config.Locator.NotHeld(upstream.ID, e.call.Adapter)
+		if result.head.Upstream != "" && result.head.Upstream != upstream.ID {
+			e.relay.config.Locator.Failed(upstream.ID)
+			e.tried = append(e.tried, upstream.ID)
+		}
+	} else {
+		e.tried = append(e.tried, upstream.ID)
+	}
+	drain(result)
+}
+
+// maxRefusal bounds the body of a refusal that is read to keep its connection.
+const maxRefusal = 4 << 10
+
+// drain reads the short body of an answer that is not passed on.
+func drain(result sent) {
+	n, err := io.Copy(io.Discard, io.LimitReader(result.response.Body, maxRefusal+1))
+	if err != nil || n > maxRefusal {
+		result.response.Discard()
+		return
+	}
+	result.response.Release()
+}
+
+// passOn passes an engine's answer on and reports whether the request has ended.
+func (e *exchange) passOn(upstream topology.Upstream, result sent) bool {
+	if result.response.StatusCode/100 != 2 {
+		return e.passFailure(upstream, result)
+	}
+	if e.route.Kind != routing.Streaming {
+		return e.passBody(upstream, result)
+	}
+	return e.passStream(upstream, result)
+}
+
+// passFailure passes an engine's failure on, unless the request may be
+// repeated elsewhere.
+func (e *exchange) passFailure(upstream topology.Upstream, result sent) bool {
+	if result.response.StatusCode >= 500 {
+		e.relay.config.Locator.Failed(upstream.ID)
+	}
+	again := result.response.StatusCode >= 500 && e.route.Idempotent() && e.runs < e.route.MaxAttempts
+	if again || e.headSent {
+		e.relay.log.Info("engine failed a request", "id", e.call.ID, "upstream", upstream.ID, "status", result.response.StatusCode)
+		e.tried = append(e.tried, upstream.ID)
+		if e.headSent || e.budgetLeft() {
+			drain(result)
+			return e.headSent && !again && e.broken("no engine could go on with the stream")
+		}
+	}
+	return e.passBody(upstream, result)
+}
+
+// budgetLeft reports whether the budget has room for one more send, without
+// drawing on it.
+func (e *exchange) budgetLeft() bool {
+	return e.relay.config.Budget(e.service.Name).Left(steadyNow())
+}
+
+func (e *exchange) broken(reason string) bool {
+	e.outcome = outcomeBroken
+	e.reason = reason
+	return true
+}
+
+var errOrder = errors.New("the events of the stream are out of order")
+
+// passStream passes on the events of a stream and reports whether the request
+// has ended. After a break, a resumable stream goes on at another engine.
+func (e *exchange) passStream(upstream topology.Upstream, result sent) bool {
+	reader := newEventReader(result.response.Body)
+	controller := http.NewResponseController(e.w)
+	for {
+		event, rest, err := reader.next()
+		if err != nil {
+			return e.streamEnded(upstream, result, rest, err)
+		}
+		if !e.follows(event.id) {
+			return e.streamEnded(upstream, result, nil, errOrder)
+		}
+		e.sendHead(result)
+		if _, err := e.w.Write(event.raw); err != nil {
+			return e.callerLost(result)
+		}
+		if err := controller.Flush(); err != nil {
+			return e.callerLost(result)
+		}
+		if event.id != "" {
+			e.lastEvent = event.id
+		}
+		if e.events == 0 {
+			e.relay.config.Metrics.FirstEvent(e.route.Name, time.Since(e.arrived))
+		}
+		e.events++
+	}
+}
+
+// follows reports whether an event's identifier is higher than that of the
+// event before it.
+func (e *exchange) follows(id string) bool {
+	if id == "" || e.lastEvent == "" {
+		return true
+	}
+	next, err := strconv.ParseInt(id, 10, 64)
+	if err != nil {
+		return true
+	}
+	last, err := strconv.ParseInt(e.lastEvent, 10, 64)
+	return err != nil || next > last
+}
+
+// sendHead passes on the head of the first engine's answer, once.
+func (e *exchange) sendHead(result sent) {
+	if e.headSent {
+		return
+	}
+	e.headSent = true
+	e.status = result.response.StatusCode
+	e.writeHead(result)
+}
+
+func (e *exchange) writeHead(result sent) {
+	header := e.w.Header()
+	for name, values := range e.relay.config.Protocol.AnswerHeader(result.response.Header) {
+		header[name] = values
+	}
+	// nil keeps net/http from guessing what the upstream did not state.
+	for _, name := range []string{"Content-Type", "Date"} {
+		if _, ok := header[name]; !ok {
+			header[name] = nil
+		}
+	}
+	e.w.WriteHeader(result.response.StatusCode)
+}
+
+func (e *exchange) callerLost(result sent) bool {
+	result.response.Discard()
+	e.outcome = outcomeLeft
+	return true
+}
+
+// streamEnded judges the end of a stream from one engine.
+func (e *exchange) streamEnded(upstream topology.Upstream, result sent, rest []byte, err error) bool {
+	locator := e.relay.config.Locator
+	if err == io.EOF && (result.response.Framed() || len(rest) == 0) {
+		e.sendHead(result)
+		if len(rest) > 0 {
+			if _, err := e.w.Write(rest); err != nil {
+				return e.callerLost(result)
+			}
+		}
+		result.response.Release()
+		locator.Succeeded(upstream.ID, 0)
+		e.outcome = outcomeAnswered
+		return true
+	}
+	result.response.Discard()
+	if e.ctx.Err() != nil {
+		return e.over()
+	}
+	e.relay.log.Info("stream broke off", "id", e.call.ID, "upstream", upstream.ID, "events", e.events, "last_event", e.lastEvent, "error", err)
+	locator.Failed(upstream.ID)
+	e.tried = append(e.tried, upstream.ID)
+	if !e.route.Idempotent() || e.runs >= e.route.MaxAttempts {
+		e.giveUp(http.StatusBadGateway, 0, "the engine broke the stream off")
+		return true
+	}
+	return false
+}
--- /dev/null
+++ b/internal/relay/types.go
@@ -0,0 +1,79 @@
+package relay
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/barleylift/barleylift/internal/topology"
+)
+
+// Call is a caller's request, decoded.
+type Call struct {
+	// ID identifies the request; each attempt of a caller has its own.
+	ID string
+	// Method, Host and Target are passed on unchanged. Path is the target
+	// without its query.
+	Method string
+	Host   string
+	Target string
+	Path   string
+	// Patience is how long the caller will wait; 0 if it did not say.
+	Patience time.Duration
+	// Adapter names the model and adapter of a model request; its Model is
+	// empty for others.
+	Adapter topology.Adapter
+	// PromptTokens and OutputTokens are the sizes that the caller states.
+	PromptTokens int
+	OutputTokens int
+	// LastEvent is the last event that the caller has of a stream; empty if
+	// it starts anew.
+	LastEvent string
+	// Header holds the fields to pass on, without those of one connection and
+	// those that are the daemon's to set.
+	Header http.Header
+}
+
+// Sending is what the daemon adds to one send of a call.
+type Sending struct {
+	// Upstream is the process that may run the call; any other refuses it.
+	Upstream string
+	// TimeLeft is how long the upstream may work.
+	TimeLeft time.Duration
+	// Version is the adapter's version that must be used; 0 for any.
+	Version int64
+	// Urgency is the rank of the route, 0 first; used for model calls only.
+	Urgency int
+	// LastEvent is the event after which a stream is to go on.
+	LastEvent string
+}
+
+// Head is what the head of an answer says, beside its status and header.
+type Head struct {
+	RequestID string
+	// Signed tells that the answer carries the upstream's signature.
+	Signed bool
+	// NotRun states that the upstream did not run the call and never will.
+	NotRun bool
+	// Misdirected tells that the upstream is not the expected process, or does
+	// not hold the adapter in the expected version; the call did not run.
+	Misdirected bool
+	// Upstream is the process that answered; empty if it did not say.
+	Upstream string
+	// Encoded tells that the body carries a content coding and so is not the
+	// upstream's.
+	Encoded bool
+}
+
+// Protocol translates between header fields and the types above.
+type Protocol interface {
+	// Decode reads a caller's request.
+	Decode(r *http.Request) (*Call, error)
+	// Header returns the header of one send of the call.
+	Header(call *Call, sending Sending) http.Header
+	// Head reads the head of an answer.
+	Head(status int, header http.Header) Head
+	// AnswerHeader returns the fields of an answer that are passed on.
+	AnswerHeader(header http.Header) http.Header
+	// Refuse writes an answer of the daemon's own. RetryAfter is left out if 0.
+	Refuse(w http.ResponseWriter, call *Call, status int, retryAfter time.Duration, reason string)
+}
--- /dev/null
+++ b/internal/residency/engine.go
@@ -0,0 +1,287 @@
+package residency
+
+import (
+	"time"
+
+	"github.com/barleylift/barleylift/internal/topology"
+)
+
+// Time constants of one engine. Times are durations on any steady clock.
+const (
+	// wantExpiry drops a request for an adapter that nobody repeats.
+	wantExpiry = time.Second
+	// minIdle is how long an adapter must have been unused to be evicted, so
+	// that entries which still believe it is held do not send in vain. It
+	// covers two rounds of the entries' notices.
+	minIdle = 900 * time.Millisecond
+	// usageHalfLife ages the count of uses; demand moves within some seconds.
+	usageHalfLife = 8 * time.Second
+	// staleReport is how long a report may lag behind an accepted order. One
+	// that shows fewer orders after that corrects the count.
+	staleReport = 700 * time.Millisecond
+	// firstLoadGuess stands for the time of a load until one was measured.
+	firstLoadGuess = 200 * time.Millisecond
+	// reportLag is added to the expected end of a load before the engine is
+	// asked: its reports are as of some hundred milliseconds ago.
+	reportLag = 80 * time.Millisecond
+	// firstRecheck and maxRecheck are the pauses between two questions about a
+	// load that takes longer than expected.
+	firstRecheck = 60 * time.Millisecond
+	maxRecheck   = 500 * time.Millisecond
+	// conflictPause follows a refused order.
+	conflictPause = 40 * time.Millisecond
+	// unansweredPause follows an order or report without an answer.
+	unansweredPause = 100 * time.Millisecond
+	// recentLimit bounds the memory of adapters that the engine held lately.
+	recentLimit = 96
+	// reloadShare is the time to load an adapter that the engine held lately,
+	// against that of one from the weight store.
+	reloadShare = 0.1
+	// transitLimit is the number of adapters on their way into one engine.
+	transitLimit = 2
+)
+
+// phase is the state of one place for an adapter.
+type phase int
+
+const (
+	// ready: the adapter serves requests.
+	ready phase = iota
+	// loading: the adapter is on its way.
+	loading
+	// replacing: a newer version is on its way and waits for the runs on the older one.
+	replacing
+	// leaving: an unload waits for the runs on the adapter.
+	leaving
+)
+
+// place is one adapter that takes a slot of the engine.
+type place struct {
+	phase   phase
+	version int64
+	// target is the version that is being loaded.
+	target int64
+	// order is the count of accepted orders after the place's last order.
+	order int64
+	// since is when that order was accepted, and check when the engine is to
+	// be asked about it.
+	since   time.Duration
+	check   time.Duration
+	recheck time.Duration
+	lastUse time.Duration
+	// uses is the aged count of requests as of agedAt.
+	uses   float64
+	agedAt time.Duration
+}
+
+// want is a request for an adapter that is not ready.
+type want struct {
+	version int64
+	weight  float64
+	since   time.Duration
+	asked   time.Duration
+	// stuck tells that the engine can't take the adapter at present.
+	stuck bool
+}
+
+// Spec describes what an engine can hold.
+type Spec struct {
+	// Capacity is the number of adapters at once, those on their way included.
+	Capacity int
+	// Model is the base model that the engine is to hold.
+	Model string
+	// ModelLoad is the time to load the base model.
+	ModelLoad time.Duration
+	// ModelFrom is when a load of the base model may be ordered.
+	ModelFrom time.Duration
+}
+
+// Engine is the state of one engine as the daemon that orders it knows it. It
+// is not safe for concurrent use.
+type Engine struct {
+	spec Spec
+	born int64
+	// known tells that the state below is that of the engine after orders
+	// accepted orders.
+	known    bool
+	orders   int64
+	accepted time.Duration
+	notUntil time.Duration
+	models   map[string]int64
+	// modelOrdered is when a load of the base model was last accepted.
+	modelOrdered time.Duration
+	modelLoading bool
+	places       map[topology.Adapter]*place
+	wants        map[topology.Adapter]*want
+	running      map[string]map[topology.Adapter]int
+	heard        map[string]time.Duration
+	recent       []topology.Adapter
+	loadTime     time.Duration
+}
+
+// NewEngine returns an engine of which nothing is known.
+func NewEngine(spec Spec) *Engine {
+	return &Engine{
+		spec:     spec,
+		models:   make(map[string]int64),
+		places:   make(map[topology.Adapter]*place),
+		wants:    make(map[topology.Adapter]*want),
+		running:  make(map[string]map[topology.Adapter]int),
+		heard:    make(map[string]time.Duration),
+		loadTime: firstLoadGuess,
+	}
+}
+
+// SetSpec replaces what the engine can hold.
+func (e *Engine) SetSpec(spec Spec) {
+	e.spec = spec
+}
+
+// Forget marks the state as unknown: another daemon may have given orders.
+func (e *Engine) Forget() {
+	e.known = false
+}
+
+// Restarted drops everything: a new process of the engine holds nothing.
+func (e *Engine) Restarted(born int64) {
+	e.born = born
+	e.known = false
+	e.orders = 0
+	e.modelLoading = false
+	clear(e.models)
+	clear(e.places)
+	clear(e.running)
+}
+
+// Born returns the start of the engine's process in Unix milliseconds.
+func (e *Engine) Born() int64 {
+	return e.born
+}
+
+// Want asks for an adapter in the version or a newer one. The weight adds up
+// the value of the requests that wait for it at one entry.
+func (e *Engine) Want(now time.Duration, adapter topology.Adapter, version int64, weight float64) {
+	w := e.wants[adapter]
+	if w == nil {
+		w = &want{since: now}
+		e.wants[adapter] = w
+	}
+	w.version = max(w.version, version)
+	w.weight = max(w.weight, weight)
+	w.asked = now
+}
+
+// Use takes over what one entry has sent to the engine since its last notice,
+// and what of it still runs.
+func (e *Engine) Use(now time.Duration, entry string, uses []Use) {
+	running := make(map[topology.Adapter]int, len(uses))
+	for _, use := range uses {
+		if use.Running > 0 {
+			running[use.Adapter] = use.Running
+		}
+		if p := e.places[use.Adapter]; p != nil && (use.Count > 0 || use.Running > 0) {
+			p.lastUse = now
+			p.uses = p.aged(now) + float64(use.Count)
+			p.agedAt = now
+		}
+	}
+	e.running[entry] = running
+	e.heard[entry] = now
+}
+
+// Use is one adapter's use by one entry.
+type Use struct {
+	Adapter topology.Adapter
+	// Count is the number of requests sent since the last notice.
+	Count int
+	// Running is the number of requests that have not ended.
+	Running int
+}
+
+// Drop forgets an entry that has gone.
+func (e *Engine) Drop(entry string) {
+	delete(e.running, entry)
+	delete(e.heard, entry)
+}
+
+func (e *Engine) runs(adapter topology.Adapter) int {
+	total := 0
+	for _, running := range e.running {
+		total += running[adapter]
+	}
+	return total
+}
+
+func (p *place) aged(now time.Duration) float64 {
+	return p.uses * halve(now-p.agedAt)
+}
+
+// Status is what an entry is told about an adapter that it asked for.
+type Status int
+
+// The states of a wanted adapter.
+const (
+	// Waiting: the adapter is on its way or waits for its turn.
+	Waiting Status = iota
+	// Ready: the adapter serves requests.
+	Ready
+	// Elsewhere: the engine can't take the adapter soon.
+	Elsewhere
+)
+
+// Status returns how an adapter stands.
+func (e *Engine) Status(adapter topology.Adapter, version int64) Status {
+	p := e.places[adapter]
+	switch {
+	case !e.known:
+		return Waiting
+	case p != nil && p.phase == ready && p.version >= version:
+		return Ready
+	case p != nil && (p.phase == leaving || p.phase == replacing) && e.runs(adapter) > 0:
+		return Elsewhere
+	case p == nil && e.wants[adapter] != nil && e.wants[adapter].stuck:
+		return Elsewhere
+	default:
+		return Waiting
+	}
+}
+
+// Held lists the adapters that serve requests.
+func (e *Engine) Held() []Held {
+	list := make([]Held, 0, len(e.places))
+	for adapter, p := range e.places {
+		if p.phase == ready {
+			list = append(list, Held{Adapter: adapter, Version: p.version})
+		}
+	}
+	return list
+}
+
+// Held is an adapter that serves requests.
+type Held struct {
+	Adapter topology.Adapter
+	Version int64
+}
+
+// HasModel reports whether the base model is held.
+func (e *Engine) HasModel() bool {
+	_, ok := e.models[e.spec.Model]
+	return ok
+}
+
+// Known reports whether the state is that of the engine, and the number of
+// orders that it has accepted.
+func (e *Engine) Known() (orders int64, known bool) {
+	return e.orders, e.known
+}
+
+// Queue returns the number of adapters that wait for a load or are on their way.
+func (e *Engine) Queue() int {
+	n := 0
+	for adapter := range e.wants {
+		if p := e.places[adapter]; p == nil || p.phase != ready {
+			n++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/internal/residency/next.go
@@ -0,0 +1,230 @@
+package residency
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/barleylift/barleylift/internal/topology"
+)
+
+// Kind is the kind of an order.
+type Kind int
+
+// The kinds of orders.
+const (
+	// LoadModel brings the base model in.
+	LoadModel Kind = iota
+	// LoadAdapter brings an adapter in, or a newer version of one.
+	LoadAdapter
+	// UnloadAdapter takes an adapter out.
+	UnloadAdapter
+)
+
+// String returns the name of the kind.
+func (k Kind) String() string {
+	switch k {
+	case LoadModel:
+		return "load model"
+	case LoadAdapter:
+		return "load adapter"
+	default:
+		return "unload adapter"
+	}
+}
+
+// Order is an order to the engine.
+type Order struct {
+	Kind    Kind
+	Adapter topology.Adapter
+	// Version is the version to load; 0 for the newest.
+	Version int64
+	// Precondition is the number of accepted orders on which the order was decided.
+	Precondition int64
+}
+
+// Action is what is to be done next at an engine.
+type Action struct {
+	// Report asks for the engine's own report.
+	Report bool
+	// Order is the order to send; nil for none.
+	Order *Order
+	// Wait is how long nothing is to be done, if neither is set.
+	Wait time.Duration
+}
+
+// idleWait is the wait when nothing is due.
+const idleWait = time.Second
+
+// Next decides what is to be done at the engine.
+func (e *Engine) Next(now time.Duration) Action {
+	e.expire(now)
+	if now < e.notUntil {
+		return Action{Wait: e.notUntil - now}
+	}
+	if !e.known || e.reportDue(now) {
+		return Action{Report: true}
+	}
+	if order := e.nextOrder(now); order != nil {
+		order.Precondition = e.orders
+		return Action{Order: order}
+	}
+	return Action{Wait: e.wait(now)}
+}
+
+func (e *Engine) expire(now time.Duration) {
+	for adapter, w := range e.wants {
+		p := e.places[adapter]
+		done := p != nil && p.phase == ready && p.version >= w.version
+		if done || now-w.asked > wantExpiry {
+			delete(e.wants, adapter)
+		}
+	}
+	for entry, at := range e.heard {
+		if now-at > entrySilence {
+			e.Drop(entry)
+		}
+	}
+}
+
+// entrySilence is how long an entry's running requests count without a notice
+// of it. Its requests end with its connections when it has died.
+const entrySilence = 5 * time.Second
+
+// reportDue reports whether an order's effect is to be looked up.
+func (e *Engine) reportDue(now time.Duration) bool {
+	if e.modelLoading && now >= e.modelCheck() {
+		return true
+	}
+	for _, p := range e.places {
+		if p.phase != ready && now >= p.check {
+			return true
+		}
+	}
+	return false
+}
+
+// modelCheck is when the load of the base model is to be looked up.
+func (e *Engine) modelCheck() time.Duration {
+	return e.modelOrdered + reportLag
+}
+
+// wait returns the time to the next look at the engine.
+func (e *Engine) wait(now time.Duration) time.Duration {
+	wait := idleWait
+	for _, p := range e.places {
+		if p.phase != ready {
+			wait = min(wait, p.check-now)
+		}
+	}
+	if e.modelLoading {
+		wait = min(wait, e.modelCheck()-now)
+	}
+	if !e.modelLoading && !e.HasModel() && e.spec.Model != "" {
+		wait = min(wait, e.spec.ModelFrom-now)
+	}
+	if e.Queue() > 0 {
+		wait = min(wait, maxRecheck/5)
+	}
+	return max(wait, time.Millisecond)
+}
+
+func (e *Engine) nextOrder(now time.Duration) *Order {
+	if e.spec.Model == "" || e.modelLoading {
+		return nil
+	}
+	if !e.HasModel() {
+		if now < e.spec.ModelFrom {
+			return nil
+		}
+		return &Order{Kind: LoadModel, Adapter: topology.Adapter{Model: e.spec.Model}}
+	}
+	for _, wanted := range e.byWeight(now) {
+		if order := e.orderFor(now, wanted); order != nil {
+			return order
+		}
+	}
+	return nil
+}
+
+// byWeight lists the wanted adapters, the one for which most value has waited
+// for longest first.
+func (e *Engine) byWeight(now time.Duration) []topology.Adapter {
+	list := make([]topology.Adapter, 0, len(e.wants))
+	for adapter := range e.wants {
+		list = append(list, adapter)
+	}
+	pressure := func(a topology.Adapter) float64 {
+		w := e.wants[a]
+		return w.weight * (0.1 + (now - w.since).Seconds())
+	}
+	slices.SortFunc(list, func(a, b topology.Adapter) int {
+		if c := cmp.Compare(pressure(b), pressure(a)); c != 0 {
+			return c
+		}
+		return cmp.Compare(a.String(), b.String())
+	})
+	return list
+}
+
+// orderFor returns the order that brings a wanted adapter nearer, if one can
+// be given now.
+func (e *Engine) orderFor(now time.Duration, adapter topology.Adapter) *Order {
+	w := e.wants[adapter]
+	w.stuck = false
+	p := e.places[adapter]
+	load := &Order{Kind: LoadAdapter, Adapter: adapter, Version: w.version}
+	switch {
+	case adapter.Model != e.spec.Model:
+		w.stuck = true
+		return nil
+	case p != nil && p.phase == ready:
+		return load // a newer version replaces the one that is held
+	case p != nil:
+		return nil
+	case e.inTransit() >= transitLimit:
+		return nil
+	case len(e.places) < e.spec.Capacity:
+		return load
+	}
+	victim, ok := e.victim(now)
+	if !ok {
+		w.stuck = true
+		return nil
+	}
+	return &Order{Kind: UnloadAdapter, Adapter: victim}
+}
+
+func (e *Engine) inTransit() int {
+	n := 0
+	for _, p := range e.places {
+		if p.phase == loading || p.phase == replacing {
+			n++
+		}
+	}
+	return n
+}
+
+// victim returns the adapter with the least aged use among those that nothing
+// uses or asks for; of equals, the one that was used least recently.
+func (e *Engine) victim(now time.Duration) (topology.Adapter, bool) {
+	var best topology.Adapter
+	bestUse, bestLast := math.Inf(1), time.Duration(math.MaxInt64)
+	for adapter, p := range e.places {
+		if p.phase != ready || e.wants[adapter] != nil || now-p.lastUse < minIdle || e.runs(adapter) > 0 {
+			continue
+		}
+		use := p.aged(now)
+		better := use < bestUse || use == bestUse && (p.lastUse < bestLast || p.lastUse == bestLast && adapter.Name < best.Name)
+		if better {
+			best, bestUse, bestLast = adapter, use, p.lastUse
+		}
+	}
+	return best, best.Name != ""
+}
+
+// halve returns the factor by which a count has aged.
+func halve(age time.Duration) float64 {
+	return math.Exp2(-age.Seconds() / usageHalfLife.Seconds())
+}
--- a/internal/upstream/service_header.go
+++ b/internal/upstream/service_header.go
@@ -5,15 +5,9 @@
 	"strings"
 
 	"github.com/barleylift/barleylift/internal/call"
+	"github.com/barleylift/barleylift/internal/hop"
 )
 
-// hopByHopHeaders are the fields that belong to one connection (RFC 9110,
-// section 7.6.1), in canonical form.
-var hopByHopHeaders = []string{
-	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
-	"Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
-}
-
 // RequestHeader returns the fields of a caller's request that are sent on to a
 // plain service: without hop-by-hop fields, those listed in Connection, the
 // caller's credentials and the reserved Barleylift- fields, and with the
@@ -34,18 +28,7 @@
 }
 
 func endToEnd(from http.Header) http.Header {
-	header := from.Clone()
-	if header == nil {
-		header = make(http.Header)
-	}
-	for _, line := range from.Values("Connection") {
-		for name := range strings.SplitSeq(line, ",") {
-			header.Del(strings.TrimSpace(name))
-		}
-	}
-	for _, name := range hopByHopHeaders {
-		header.Del(name)
-	}
+	header := hop.EndToEnd(from)
 	for name := range header {
 		if strings.HasPrefix(http.CanonicalHeaderKey(name), call.ReservedHeaderPrefix) {
 			delete(header, name)
