--- /dev/null
+++ b/internal/admission/gate.go
@@ -0,0 +1,282 @@
+package admission
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/barleylift/barleylift/internal/residency"
+	"github.com/barleylift/barleylift/internal/topology"
+)
+
+// Constants of the turns at one engine.
+const (
+	// pauseShare is the part of the objective for pauses that prompts which
+	// are read at once may take; the rest is left to the steps between them.
+	pauseShare = 0.6
+	// defaultPause stands for routes without an objective for pauses.
+	defaultPause = 300 * time.Millisecond
+	// maxTurns bounds the prompts that are read at once.
+	maxTurns = 3
+	// firstPerToken is the time to read one prompt token until it was measured.
+	firstPerToken = 55 * time.Microsecond
+	// leastPerToken and mostPerToken bound what is measured.
+	leastPerToken = 10 * time.Microsecond
+	mostPerToken  = time.Millisecond
+	// stepTime is the part of the time to a first event that is no reading of
+	// the prompt: some steps and the way of the messages.
+	stepTime = 30 * time.Millisecond
+	// lostTurn ends a turn of which nothing was heard; it is added to twice
+	// the expected time.
+	lostTurn = 250 * time.Millisecond
+	// askExpiry drops a request that its entry does not repeat.
+	askExpiry = 600 * time.Millisecond
+	// rankDelay is how much later the first event of a request of one rank
+	// lower may be.
+	rankDelay = 150 * time.Millisecond
+	// lateShare gives each so many-th turn to a request that is late already.
+	lateShare = 4
+)
+
+// Key names a request: a ticket is unique at its entry.
+type Key struct {
+	Entry  string
+	Ticket uint64
+}
+
+// Request asks for a turn.
+type Request struct {
+	Key
+	Adapter topology.Adapter
+	Version int64
+	// Tokens is the size of the prompt.
+	Tokens int
+	// Rank is the urgency; 0 is the most urgent.
+	Rank int
+	// Pause is the objective for pauses of the request's route.
+	Pause time.Duration
+	// Due is when the first event should come, and Expires when the caller's
+	// time is over.
+	Due     time.Duration
+	Expires time.Duration
+}
+
+// waiting is a request that waits for its turn.
+type waiting struct {
+	Request
+	arrived time.Duration
+	asked   time.Duration
+}
+
+// turn is a request that has begun and whose prompt is being read.
+type turn struct {
+	tokens int
+	began  time.Duration
+	alone  bool
+}
+
+// Gate hands out the turns at one engine. It is not safe for concurrent use.
+type Gate struct {
+	waiting  map[Key]*waiting
+	turns    map[Key]turn
+	perToken time.Duration
+	// granted counts turns, for the share of late requests.
+	granted int
+}
+
+// NewGate returns a gate at which nothing waits.
+func NewGate() *Gate {
+	return &Gate{waiting: make(map[Key]*waiting), turns: make(map[Key]turn), perToken: firstPerToken}
+}
+
+// Ask adds a request or notes that it still waits.
+func (g *Gate) Ask(now time.Duration, r Request) {
+	if _, begun := g.turns[r.Key]; begun {
+		return
+	}
+	w := g.waiting[r.Key]
+	if w == nil {
+		w = &waiting{arrived: now}
+		g.waiting[r.Key] = w
+	}
+	w.Request = r
+	w.asked = now
+}
+
+// Has reports whether a request has its turn already, so that its grant must
+// have been lost.
+func (g *Gate) Has(key Key) bool {
+	_, begun := g.turns[key]
+	return begun
+}
+
+// Begun ends a request's turn: its first event has come, or it has ended.
+func (g *Gate) Begun(now time.Duration, key Key) {
+	t, ok := g.turns[key]
+	if !ok {
+		delete(g.waiting, key)
+		return
+	}
+	delete(g.turns, key)
+	if t.alone && t.tokens > 0 {
+		g.measure(now-t.began, t.tokens)
+	}
+}
+
+func (g *Gate) measure(took time.Duration, tokens int) {
+	const weight = 0.1
+	sample := max(took-stepTime, 0) / time.Duration(tokens)
+	sample = min(max(sample, leastPerToken), mostPerToken)
+	g.perToken += time.Duration(weight * float64(sample-g.perToken))
+}
+
+// Queue returns the number of requests that wait for their turn with their
+// adapter ready, and the time that reading their prompts takes.
+func (g *Gate) Queue() (requests int, reading time.Duration) {
+	for _, w := range g.waiting {
+		reading += g.reading(w.Tokens)
+	}
+	for _, t := range g.turns {
+		reading += g.reading(t.tokens)
+	}
+	return len(g.waiting), reading
+}
+
+func (g *Gate) reading(tokens int) time.Duration {
+	return time.Duration(tokens) * g.perToken
+}
+
+// Wanted calls yield for each adapter that requests wait for, with the sum of
+// their weights.
+func (g *Gate) Wanted(yield func(adapter topology.Adapter, version int64, weight float64)) {
+	type wanted struct {
+		adapter topology.Adapter
+		version int64
+	}
+	sums := make(map[wanted]float64)
+	for _, w := range g.waiting {
+		sums[wanted{w.Adapter, w.Version}] += weight(w.Rank)
+	}
+	for key, sum := range sums {
+		yield(key.adapter, key.version, sum)
+	}
+}
+
+// weight is a request's value in the queue for adapters.
+func weight(rank int) float64 {
+	const lowest = 4
+	return float64(1 + max(lowest-rank, 0))
+}
+
+// Decision is what an entry is to be told.
+type Decision struct {
+	Request
+	Status residency.Status
+}
+
+// Next drops what has expired and returns the requests that may begin, and
+// those that should go elsewhere. Status tells how an adapter stands.
+func (g *Gate) Next(now time.Duration, status func(topology.Adapter, int64) residency.Status) []Decision {
+	g.expire(now)
+	var decisions []Decision
+	var ready []*waiting
+	for key, w := range g.waiting {
+		switch status(w.Adapter, w.Version) {
+		case residency.Ready:
+			ready = append(ready, w)
+		case residency.Elsewhere:
+			decisions = append(decisions, Decision{Request: w.Request, Status: residency.Elsewhere})
+			delete(g.waiting, key)
+		}
+	}
+	for len(ready) > 0 {
+		i := g.pick(now, ready)
+		if !g.fits(ready[i].Request) {
+			break
+		}
+		g.begin(now, ready[i].Request)
+		decisions = append(decisions, Decision{Request: ready[i].Request, Status: residency.Ready})
+		ready = slices.Delete(ready, i, i+1)
+	}
+	return decisions
+}
+
+func (g *Gate) expire(now time.Duration) {
+	for key, w := range g.waiting {
+		if now-w.asked > askExpiry || now >= w.Expires {
+			delete(g.waiting, key)
+		}
+	}
+	for key, t := range g.turns {
+		if now-t.began > 2*g.reading(t.tokens)+lostTurn {
+			delete(g.turns, key)
+		}
+	}
+}
+
+// fits reports whether a prompt may be read beside those that are.
+func (g *Gate) fits(r Request) bool {
+	if len(g.turns) == 0 {
+		return true
+	}
+	pause := r.Pause
+	if pause <= 0 {
+		pause = defaultPause
+	}
+	reading := g.reading(r.Tokens)
+	for _, t := range g.turns {
+		reading += g.reading(t.tokens)
+	}
+	return len(g.turns) < maxTurns && reading <= time.Duration(pauseShare*float64(pause))
+}
+
+// pick returns the request that begins next: of those that can still meet
+// their objective the one that is due first, by rank; each lateShare-th turn
+// goes to the oldest one that can't.
+func (g *Gate) pick(now time.Duration, ready []*waiting) int {
+	late := func(w *waiting) bool { return now+g.reading(w.Tokens)+stepTime > w.Due }
+	lateFirst := g.granted%lateShare == lateShare-1
+	best := 0
+	for i := range ready {
+		if compare(ready[i], ready[best], late, lateFirst) < 0 {
+			best = i
+		}
+	}
+	return best
+}
+
+func compare(a, b *waiting, late func(*waiting) bool, lateFirst bool) int {
+	if late(a) != late(b) {
+		if late(a) == lateFirst {
+			return -1
+		}
+		return 1
+	}
+	due := func(w *waiting) time.Duration { return w.Due + time.Duration(w.Rank)*rankDelay }
+	if c := cmp.Compare(due(a), due(b)); c != 0 {
+		return c
+	}
+	if c := cmp.Compare(a.Entry, b.Entry); c != 0 {
+		return c
+	}
+	return cmp.Compare(a.Ticket, b.Ticket)
+}
+
+func (g *Gate) begin(now time.Duration, r Request) {
+	delete(g.waiting, r.Key)
+	for key, t := range g.turns {
+		t.alone = false
+		g.turns[key] = t
+	}
+	g.turns[r.Key] = turn{tokens: r.Tokens, began: now, alone: len(g.turns) == 0}
+	g.granted++
+}
+
+// Wait returns how soon a turn may end by itself.
+func (g *Gate) Wait(now time.Duration) time.Duration {
+	wait := time.Second
+	for _, t := range g.turns {
+		wait = min(wait, t.began+2*g.reading(t.tokens)+lostTurn-now)
+	}
+	return max(wait, time.Millisecond)
+}
--- a/internal/fleet/keeper.go
+++ b/internal/fleet/keeper.go
@@ -133,6 +133,14 @@
 	return k.table.Members()
 }
 
+// Member returns a member by its VM.
+func (k *Keeper) Member(name string) (Member, bool) {
+	k.mu.RLock()
+	defer k.mu.RUnlock()
+	m, ok := k.table.members[name]
+	return m.Member, ok
+}
+
 // Owner returns the member that orders an engine.
 func (k *Keeper) Owner(id string) (Member, bool) {
 	k.mu.RLock()
--- a/internal/gateway/notices.go
+++ b/internal/gateway/notices.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/barleylift/barleylift/internal/admission"
 	"github.com/barleylift/barleylift/internal/clock"
 	"github.com/barleylift/barleylift/internal/fleet"
 	"github.com/barleylift/barleylift/internal/locator"
@@ -113,18 +114,12 @@
 	case packet.Notice != nil:
 		g.receiveNotice(packet.From, packet.Notice)
 	case packet.Ask != nil:
-		ask := packet.Ask
-		adapter := topology.Adapter{Model: ask.Model, Name: ask.Adapter}
-		status := g.orders.Ask(packet.From, ask.Engine, adapter, ask.Version, ask.Weight)
-		g.tell(packet.From, orders.News{Engine: ask.Engine, Adapter: adapter, Version: ask.Version, Status: status})
+		g.answerAsk(packet.From, packet.Ask.Engine, askOf(packet.Ask))
 	case packet.News != nil:
 		news := packet.News
-		g.locator.Told(orders.News{
-			Engine:  news.Engine,
-			Adapter: topology.Adapter{Model: news.Model, Name: news.Adapter},
-			Version: news.Version,
-			Status:  residency.Status(news.Status),
-		})
+		g.locator.Told(orders.News{Engine: news.Engine, Ticket: news.Ticket, Status: residency.Status(news.Status)})
+	case packet.Begun != nil:
+		g.orders.Begun(packet.Begun.Engine, admission.Key{Entry: packet.From, Ticket: packet.Begun.Ticket})
 	}
 }
 
@@ -138,37 +133,90 @@
 	}
 }
 
-// ask passes an ask for an adapter on to the owner of the engine.
-func (g *Gateway) ask(engine string, adapter topology.Adapter, version int64, weight float64) bool {
+// ask passes an ask on to the owner of the engine.
+func (g *Gateway) ask(engine string, ask locator.Ask) bool {
 	owner, ok := g.keeper.Owner(engine)
 	if !ok {
 		return false
 	}
 	self := g.keeper.Self()
 	if owner.Name == self.Name {
-		status := g.orders.Ask(self.Name, engine, adapter, version, weight)
-		g.locator.Told(orders.News{Engine: engine, Adapter: adapter, Version: version, Status: status})
+		g.answerAsk(self.Name, engine, ask)
 		return true
 	}
-	g.mesh.Send(owner.Mesh, mesh.Packet{Ask: &mesh.Ask{
-		Engine: engine, Model: adapter.Model, Adapter: adapter.Name, Version: version, Weight: weight,
-	}})
+	g.mesh.Send(owner.Mesh, mesh.Packet{Ask: askMessage(engine, ask)})
 	return true
 }
 
-// tell passes news about an adapter on to an entry.
+// answerAsk takes an entry's ask to the worker of the engine and tells how it
+// stands.
+func (g *Gateway) answerAsk(entry, engine string, ask locator.Ask) {
+	if ask.Ticket == 0 {
+		g.orders.Want(engine, ask.Adapter, ask.Version)
+		return
+	}
+	status := g.orders.Ask(engine, admission.Request{
+		Key:     admission.Key{Entry: entry, Ticket: ask.Ticket},
+		Adapter: ask.Adapter,
+		Version: ask.Version,
+		Tokens:  ask.Tokens,
+		Rank:    ask.Rank,
+		Pause:   ask.Pause,
+		Due:     ask.Due,
+		Expires: ask.Expires,
+	})
+	g.tell(entry, orders.News{Engine: engine, Ticket: ask.Ticket, Status: status})
+}
+
+// begun tells the owner of an engine that a turn is over.
+func (g *Gateway) begun(engine string, ticket uint64) {
+	owner, ok := g.keeper.Owner(engine)
+	if !ok {
+		return
+	}
+	self := g.keeper.Self()
+	if owner.Name == self.Name {
+		g.orders.Begun(engine, admission.Key{Entry: self.Name, Ticket: ticket})
+		return
+	}
+	g.mesh.Send(owner.Mesh, mesh.Packet{Begun: &mesh.Begun{Engine: engine, Ticket: ticket}})
+}
+
+// tell passes news about a request on to its entry.
 func (g *Gateway) tell(entry string, news orders.News) {
 	if entry == g.settings.Load().VM {
 		g.locator.Told(news)
 		return
 	}
-	for _, m := range g.keeper.Members() {
-		if m.Name == entry {
-			g.mesh.Send(m.Mesh, mesh.Packet{News: &mesh.News{
-				Engine: news.Engine, Model: news.Adapter.Model, Adapter: news.Adapter.Name, Version: news.Version, Status: int(news.Status),
-			}})
-			return
-		}
+	m, ok := g.keeper.Member(entry)
+	if !ok {
+		return
+	}
+	g.mesh.Send(m.Mesh, mesh.Packet{News: &mesh.News{Engine: news.Engine, Ticket: news.Ticket, Status: int(news.Status)}})
+}
+
+// askMessage and askOf carry times as distances from now, because daemons do
+// not share a clock.
+func askMessage(engine string, ask locator.Ask) *mesh.Ask {
+	now := clock.Boot()
+	return &mesh.Ask{
+		Engine: engine, Ticket: ask.Ticket, Model: ask.Adapter.Model, Adapter: ask.Adapter.Name, Version: ask.Version,
+		Tokens: ask.Tokens, Rank: ask.Rank, Pause: ask.Pause.Milliseconds(),
+		Due: (ask.Due - now).Milliseconds(), Expires: (ask.Expires - now).Milliseconds(),
+	}
+}
+
+func askOf(message *mesh.Ask) locator.Ask {
+	now := clock.Boot()
+	return locator.Ask{
+		Ticket:  message.Ticket,
+		Adapter: topology.Adapter{Model: message.Model, Name: message.Adapter},
+		Version: message.Version,
+		Tokens:  message.Tokens,
+		Rank:    message.Rank,
+		Pause:   time.Duration(message.Pause) * time.Millisecond,
+		Due:     now + time.Duration(message.Due)*time.Millisecond,
+		Expires: now + time.Duration(message.Expires)*time.Millisecond,
 	}
 }
 
@@ -216,7 +264,7 @@
 
 func stateMessage(state orders.State) mesh.EngineState {
 	message := mesh.EngineState{
-		Engine: state.Engine, Born: state.Born, Orders: state.Orders, Running: state.Running, Queue: state.Queue,
+		Engine: state.Engine, Born: state.Born, Orders: state.Orders, Running: state.Running, Loads: state.Loads, Waiting: state.Waiting,
 	}
 	for _, held := range state.Held {
 		message.Held = append(message.Held, mesh.HeldAdapter{Model: held.Adapter.Model, Adapter: held.Adapter.Name, Version: held.Version})
@@ -226,7 +274,7 @@
 
 func stateOf(message mesh.EngineState) orders.State {
 	state := orders.State{
-		Engine: message.Engine, Born: message.Born, Orders: message.Orders, Running: message.Running, Queue: message.Queue,
+		Engine: message.Engine, Born: message.Born, Orders: message.Orders, Running: message.Running, Loads: message.Loads, Waiting: message.Waiting,
 	}
 	for _, held := range message.Held {
 		state.Held = append(state.Held, residency.Held{
--- a/internal/locator/locator.go
+++ b/internal/locator/locator.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"log/slog"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -19,10 +20,13 @@
 	// Zone is this daemon's availability zone, and Name its VM.
 	Zone string
 	Name string
-	// Ask passes an ask on to the owner of an engine. It returns false if no
-	// owner is known. The answer comes by Told, perhaps within the call.
-	Ask func(engine string, adapter topology.Adapter, version int64, weight float64) bool
-	Log *slog.Logger
+	// Ask passes an ask on to the owner of an engine; one without a ticket asks
+	// for the adapter only. It returns false if no owner is known. The answer
+	// comes by Told, perhaps within the call.
+	Ask func(engine string, ask Ask) bool
+	// Begun tells the owner of an engine that a turn is over.
+	Begun func(engine string, ticket uint64)
+	Log   *slog.Logger
 }
 
 // Locator is an entry's view of the upstreams. It is safe for concurrent use.
@@ -36,12 +40,15 @@
 	services map[string]map[string]*view
 	versions map[topology.Adapter]versions
 	waits    map[waitKey]*wait
+	// active are the turns that requests have and that are not over.
+	active  map[waitKey]bool
+	tickets uint64
 }
 
 // New returns a Locator without upstreams.
 func New(config Config) (*Locator, error) {
-	if config.Ask == nil || config.Log == nil {
-		return nil, errors.New("locator: Ask and Log are required")
+	if config.Ask == nil || config.Begun == nil || config.Log == nil {
+		return nil, errors.New("locator: Ask, Begun and Log are required")
 	}
 	return &Locator{
 		config:   config,
@@ -50,6 +57,8 @@
 		services: make(map[string]map[string]*view),
 		versions: make(map[topology.Adapter]versions),
 		waits:    make(map[waitKey]*wait),
+		active:   make(map[waitKey]bool),
+		tickets:  rand.Uint64(),
 	}, nil
 }
 
@@ -131,7 +140,8 @@
 			Holds:     held && version >= needed,
 			Outdated:  held && version < needed && version >= allowed,
 			Orderless: now < v.orderlessUntil,
-			Queue:     v.state.Queue,
+			Loads:     v.state.Loads,
+			Queued:    v.queued(now),
 			Suspect:   v.failures.get(now) >= suspectFailures,
 		})
 	}
@@ -240,6 +250,14 @@
 	}
 }
 
+// Ticket returns a new ticket for a turn. Tickets of a restarted process differ.
+func (l *Locator) Ticket() uint64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.tickets++
+	return l.tickets
+}
+
 // EngineUse is this entry's use of one engine since the last notice.
 type EngineUse struct {
 	Engine  string
--- a/internal/locator/view.go
+++ b/internal/locator/view.go
@@ -35,11 +35,17 @@
 	// of it the owner had been told at its last state.
 	running  int
 	reported int
-	uses     map[topology.Adapter]*use
+	// asking is the number of this entry's requests that wait for a turn
+	// there, and askedBefore what it was at the owner's last state.
+	asking      int
+	askedBefore int
+	uses        map[topology.Adapter]*use
 	// orderlessUntil is when the owner may be asked again.
 	orderlessUntil time.Duration
-	failures       aged
-	latency        time.Duration
+	// unownedUntil is until when requests are sent without a turn.
+	unownedUntil time.Duration
+	failures     aged
+	latency      time.Duration
 }
 
 // use is an adapter's use since the last notice to the owner.
@@ -85,6 +91,7 @@
 	v.stateAt = now
 	v.told = true
 	v.reported = v.running
+	v.askedBefore = v.asking
 	v.held = make(map[topology.Adapter]int64, len(state.Held))
 	for _, held := range state.Held {
 		v.held[held.Adapter] = held.Version
@@ -100,6 +107,14 @@
 	return v.running + max(v.state.Running-v.reported, 0)
 }
 
+// queued estimates the number of requests that wait for their turn.
+func (v *view) queued(now time.Duration) int {
+	if !v.told || now-v.stateAt > stateAge {
+		return v.asking
+	}
+	return max(v.state.Waiting+v.asking-v.askedBefore, v.asking)
+}
+
 // holdsModel reports whether the base model is there: by the registration,
 // which lags, or because adapters of it serve.
 func (v *view) holdsModel(model string) bool {
--- a/internal/locator/wait.go
+++ b/internal/locator/wait.go
@@ -12,164 +12,221 @@
 
 // Time constants of asks.
 const (
-	// askAgain is the time between two asks for one adapter; asks and answers
-	// are datagrams that may be lost.
-	askAgain = 150 * time.Millisecond
+	// askAgain is the time between two asks for one turn; asks and answers are
+	// datagrams that may be lost.
+	askAgain = 120 * time.Millisecond
 	// askSilence is how long an owner may leave asks unanswered.
-	askSilence = 400 * time.Millisecond
+	askSilence = 350 * time.Millisecond
+	// declinedPause is how long an engine whose owner declined an adapter is
+	// passed over for adapters that must be loaded.
+	declinedPause = 300 * time.Millisecond
 )
 
-// waitKey is what requests wait for.
-type waitKey struct {
-	engine  string
-	adapter topology.Adapter
-	version int64
+// Ask is a request that wants to begin at an engine.
+type Ask struct {
+	Ticket  uint64
+	Adapter topology.Adapter
+	// Version is set by the Locator.
+	Version int64
+	Tokens  int
+	Rank    int
+	Pause   time.Duration
+	// Due is when the first event should come, and Expires when the caller's
+	// time is over, by clock.Boot.
+	Due     time.Duration
+	Expires time.Duration
 }
 
-// wait is shared by all requests of this entry that wait for one adapter at
-// one engine.
+// Turn is the answer to an Ask.
+type Turn int
+
+// The answers to an Ask.
+const (
+	// Begin: the request may be sent now; Begun is to be called.
+	Begin Turn = iota
+	// Declined: the engine can't take the request soon.
+	Declined
+	// Unowned: nobody hands out turns at the engine at present.
+	Unowned
+	// Over: the request's own time or the wait for its turn is over.
+	Over
+)
+
+// wait is a request that waits for its turn.
 type wait struct {
-	weight   float64
-	waiters  int
-	answered time.Duration
-	// ended is closed when status is final.
-	ended  chan struct{}
-	status residency.Status
-	closed bool
+	// news receives how the request stands; it has room for the final one.
+	news chan residency.Status
 }
 
-// Await asks for an adapter at an engine and waits until it is ready, the
-// engine can't take it, its owner is silent, or ctx ends. Weight is the value
-// of the request.
-func (l *Locator) Await(ctx context.Context, engine string, adapter topology.Adapter, weight float64) residency.Status {
-	key := waitKey{engine: engine, adapter: adapter, version: l.Needed(adapter)}
-	w, first := l.join(key, weight)
-	if first {
-		// The asks go on for as long as any request waits.
-		go l.askUntilEnded(key, w)
+// Await asks for a turn at an engine until there is an answer or ctx ends.
+func (l *Locator) Await(ctx context.Context, engine string, ask Ask) Turn {
+	ask.Version = l.Needed(ask.Adapter)
+	w := l.join(engine, ask.Ticket)
+	defer l.leave(engine, ask.Ticket)
+	answered := clock.Boot()
+	ticker := time.NewTicker(askAgain)
+	defer ticker.Stop()
+	for {
+		if !l.config.Ask(engine, ask) {
+			return l.ownerSilent(engine, ask, "unknown")
+		}
+		select {
+		case status := <-w.news:
+			answered = clock.Boot()
+			if status != residency.Waiting {
+				return l.decided(engine, ask, status)
+			}
+			// The owner knows of the request; it is repeated at the next tick.
+			status, waiting := l.pause(ctx, w, ticker)
+			if !waiting {
+				return Over
+			}
+			if status != residency.Waiting {
+				return l.decided(engine, ask, status)
+			}
+		case <-ticker.C:
+		case <-ctx.Done():
+			return Over
+		}
+		if clock.Boot()-answered > askSilence {
+			return l.ownerSilent(engine, ask, "silent")
+		}
 	}
-	defer l.leave(key, w, weight)
-	select {
-	case <-w.ended:
-		l.mu.Lock()
-		defer l.mu.Unlock()
-		return w.status
-	case <-ctx.Done():
-		return residency.Waiting
+}
+
+// pause waits for the next tick or a final status.
+func (l *Locator) pause(ctx context.Context, w *wait, ticker *time.Ticker) (residency.Status, bool) {
+	for {
+		select {
+		case status := <-w.news:
+			if status != residency.Waiting {
+				return status, true
+			}
+		case <-ticker.C:
+			return residency.Waiting, true
+		case <-ctx.Done():
+			return residency.Waiting, false
+		}
 	}
 }
 
-// Request asks once for an adapter without waiting for it.
-func (l *Locator) Request(engine string, adapter topology.Adapter, weight float64) {
-	version := l.Needed(adapter)
-	key := waitKey{engine: engine, adapter: adapter, version: version}
+// decided takes over a final status.
+func (l *Locator) decided(engine string, ask Ask, status residency.Status) Turn {
 	l.mu.Lock()
-	waited := l.waits[key] != nil
-	l.mu.Unlock()
-	if !waited {
-		l.config.Ask(engine, adapter, version, weight)
+	defer l.mu.Unlock()
+	v := l.views[engine]
+	if status == residency.Ready {
+		l.active[waitKey{engine, ask.Ticket}] = true
+		if v != nil && ask.Adapter.Name != "" {
+			v.held[ask.Adapter] = max(v.held[ask.Adapter], ask.Version)
+		}
+		return Begin
+	}
+	if v != nil {
+		delete(v.held, ask.Adapter)
+		v.orderlessUntil = clock.Boot() + declinedPause
 	}
+	return Declined
 }
 
-func (l *Locator) join(key waitKey, weight float64) (*wait, bool) {
+// ownerSilent notes that nobody hands out turns at an engine.
+func (l *Locator) ownerSilent(engine string, ask Ask, how string) Turn {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	w := l.waits[key]
-	first := w == nil
-	if first {
-		w = &wait{ended: make(chan struct{}), answered: clock.Boot()}
-		l.waits[key] = w
+	if v := l.views[engine]; v != nil {
+		v.orderlessUntil = clock.Boot() + ownerSilence
+		v.unownedUntil = v.orderlessUntil
 	}
-	w.waiters++
-	w.weight += weight
-	return w, first
+	l.log.Info("owner of engine does not answer", "engine", engine, "owner", how, "adapter", ask.Adapter.String(), "ticket", ask.Ticket)
+	return Unowned
+}
+
+// Owned reports whether somebody may be handing out turns at an engine.
+func (l *Locator) Owned(engine string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	v := l.views[engine]
+	return v == nil || clock.Boot() >= v.unownedUntil
 }
 
-func (l *Locator) leave(key waitKey, w *wait, weight float64) {
+// waitKey names a request that waits.
+type waitKey struct {
+	engine string
+	ticket uint64
+}
+
+func (l *Locator) join(engine string, ticket uint64) *wait {
+	const room = 8
+	w := &wait{news: make(chan residency.Status, room)}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	w.waiters--
-	w.weight -= weight
-	if w.waiters == 0 {
-		l.end(key, w, residency.Waiting)
+	l.waits[waitKey{engine, ticket}] = w
+	if v := l.views[engine]; v != nil {
+		v.asking++
 	}
+	return w
 }
 
-// end makes a status final. The caller holds mu, because the waits change.
-func (l *Locator) end(key waitKey, w *wait, status residency.Status) {
-	if w.closed {
-		return
+// leave ends a wait. A turn that came too late is given back.
+func (l *Locator) leave(engine string, ticket uint64) {
+	key := waitKey{engine, ticket}
+	l.mu.Lock()
+	w := l.waits[key]
+	delete(l.waits, key)
+	if v := l.views[engine]; v != nil {
+		v.asking--
 	}
-	w.closed = true
-	w.status = status
-	close(w.ended)
-	if l.waits[key] == w {
-		delete(l.waits, key)
+	unused := !l.active[key] && granted(w)
+	l.mu.Unlock()
+	if unused {
+		l.config.Begun(engine, ticket)
 	}
 }
 
-// askUntilEnded repeats the ask until the wait has ended or the owner is silent.
-func (l *Locator) askUntilEnded(key waitKey, w *wait) {
-	ticker := time.NewTicker(askAgain)
-	defer ticker.Stop()
+// granted reports whether a turn is among the news that nobody has read.
+func granted(w *wait) bool {
 	for {
-		l.mu.Lock()
-		weight := w.weight
-		silent := clock.Boot()-w.answered > askSilence
-		if silent {
-			l.ownerSilent(key, w)
-		}
-		l.mu.Unlock()
-		if silent {
-			return
-		}
-		if !l.config.Ask(key.engine, key.adapter, key.version, weight) {
-			l.mu.Lock()
-			l.ownerSilent(key, w)
-			l.mu.Unlock()
-			return
-		}
 		select {
-		case <-w.ended:
-			return
-		case <-ticker.C:
+		case status := <-w.news:
+			if status == residency.Ready {
+				return true
+			}
+		default:
+			return false
 		}
 	}
 }
 
-// ownerSilent sends the waiting requests elsewhere. The caller holds mu,
-// because the waits change.
-func (l *Locator) ownerSilent(key waitKey, w *wait) {
-	if v := l.views[key.engine]; v != nil && !w.closed {
-		v.orderlessUntil = clock.Boot() + ownerSilence
-		l.log.Info("owner of engine is silent or unknown, trying other engines", "engine", key.engine, "adapter", key.adapter.String())
-	}
-	l.end(key, w, residency.Elsewhere)
+// Begun tells the owner of an engine that a request's turn is over.
+func (l *Locator) Begun(engine string, ticket uint64) {
+	l.mu.Lock()
+	delete(l.active, waitKey{engine, ticket})
+	l.mu.Unlock()
+	l.config.Begun(engine, ticket)
 }
 
-// Told takes over an owner's news about an adapter.
+// Request asks for an adapter at an engine for later requests.
+func (l *Locator) Request(engine string, adapter topology.Adapter) {
+	l.config.Ask(engine, Ask{Adapter: adapter, Version: l.Needed(adapter)})
+}
+
+// Told takes over an owner's news about a request. A turn that comes after its
+// request has left is given back.
 func (l *Locator) Told(news orders.News) {
-	key := waitKey{engine: news.Engine, adapter: news.Adapter, version: news.Version}
+	key := waitKey{news.Engine, news.Ticket}
 	l.mu.Lock()
-	defer l.mu.Unlock()
-	v := l.views[news.Engine]
-	if v != nil && news.Status == residency.Ready {
-		v.held[news.Adapter] = max(v.held[news.Adapter], news.Version)
-	}
 	w := l.waits[key]
-	if w == nil {
-		return
-	}
-	w.answered = clock.Boot()
-	if news.Status == residency.Waiting {
-		return
+	if w != nil {
+		select {
+		case w.news <- news.Status:
+		default:
+			// The request has several answers to read already.
+		}
 	}
-	if v != nil && news.Status == residency.Elsewhere {
-		v.orderlessUntil = clock.Boot() + declinedPause
+	unused := w == nil && news.Status == residency.Ready && !l.active[key]
+	l.mu.Unlock()
+	if unused {
+		// The caller may hold the lock of the engine's worker.
+		go l.config.Begun(news.Engine, news.Ticket)
 	}
-	l.end(key, w, news.Status)
 }
-
-// declinedPause is how long an engine whose owner declined an adapter is
-// passed over for adapters that must be loaded.
-const declinedPause = 300 * time.Millisecond
--- a/internal/mesh/packet.go
+++ b/internal/mesh/packet.go
@@ -13,6 +13,7 @@
 	Notice *Notice `cbor:"3,keyasint,omitempty"`
 	Ask    *Ask    `cbor:"4,keyasint,omitempty"`
 	News   *News   `cbor:"5,keyasint,omitempty"`
+	Begun  *Begun  `cbor:"6,keyasint,omitempty"`
 }
 
 // Notice is what a daemon tells another one periodically.
@@ -49,8 +50,9 @@
 	Born    int64         `cbor:"2,keyasint,omitempty"`
 	Orders  int64         `cbor:"3,keyasint,omitempty"`
 	Running int           `cbor:"4,keyasint,omitempty"`
-	Queue   int           `cbor:"5,keyasint,omitempty"`
+	Loads   int           `cbor:"5,keyasint,omitempty"`
 	Held    []HeldAdapter `cbor:"6,keyasint,omitempty"`
+	Waiting int           `cbor:"7,keyasint,omitempty"`
 }
 
 // HeldAdapter is an adapter that serves requests.
@@ -61,23 +63,32 @@
 	Version int64
 }
 
-// Ask asks the daemon that orders an engine for an adapter.
+// Ask asks the daemon that orders an engine for a turn to begin a request, or
+// without a ticket for an adapter only. Times are in milliseconds from now.
 type Ask struct {
 	Engine  string `cbor:"1,keyasint"`
-	Model   string `cbor:"2,keyasint"`
-	Adapter string `cbor:"3,keyasint"`
-	Version int64  `cbor:"4,keyasint,omitempty"`
-	// Weight is the value of the requests that wait.
-	Weight float64 `cbor:"5,keyasint,omitempty"`
+	Ticket  uint64 `cbor:"2,keyasint,omitempty"`
+	Model   string `cbor:"3,keyasint"`
+	Adapter string `cbor:"4,keyasint,omitempty"`
+	Version int64  `cbor:"5,keyasint,omitempty"`
+	Tokens  int    `cbor:"6,keyasint,omitempty"`
+	Rank    int    `cbor:"7,keyasint,omitempty"`
+	Pause   int64  `cbor:"8,keyasint,omitempty"`
+	Due     int64  `cbor:"9,keyasint,omitempty"`
+	Expires int64  `cbor:"10,keyasint,omitempty"`
 }
 
-// News tells how an adapter stands that was asked for.
+// News tells how a request stands that asked for a turn.
 type News struct {
-	Engine  string `cbor:"1,keyasint"`
-	Model   string `cbor:"2,keyasint"`
-	Adapter string `cbor:"3,keyasint"`
-	Version int64  `cbor:"4,keyasint,omitempty"`
-	Status  int    `cbor:"5,keyasint,omitempty"`
+	Engine string `cbor:"1,keyasint"`
+	Ticket uint64 `cbor:"2,keyasint"`
+	Status int    `cbor:"3,keyasint,omitempty"`
+}
+
+// Begun tells that a request's turn is over.
+type Begun struct {
+	Engine string `cbor:"1,keyasint"`
+	Ticket uint64 `cbor:"2,keyasint"`
 }
 
 // encode returns the datagrams of a packet: one, or several if a notice is
--- a/internal/orders/pool.go
+++ b/internal/orders/pool.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/barleylift/barleylift/internal/admission"
 	"github.com/barleylift/barleylift/internal/clock"
 	"github.com/barleylift/barleylift/internal/fleet"
 	"github.com/barleylift/barleylift/internal/residency"
@@ -50,13 +51,11 @@
 	Log      *slog.Logger
 }
 
-// News is how an adapter that an entry asked for stands.
+// News is how a request stands that asked for a turn at an engine.
 type News struct {
-	Engine  string
-	Adapter topology.Adapter
-	// Version is the version that was asked for.
-	Version int64
-	Status  residency.Status
+	Engine string
+	Ticket uint64
+	Status residency.Status
 }
 
 // Assignment is an engine that this daemon is to order.
@@ -72,9 +71,11 @@
 	Orders int64
 	// Running is the number of requests that all entries run there.
 	Running int
-	// Queue is the number of adapters that wait for a load.
-	Queue int
-	Held  []residency.Held
+	// Loads is the number of adapters that wait for a load.
+	Loads int
+	// Waiting is the number of requests that wait for their turn.
+	Waiting int
+	Held    []residency.Held
 }
 
 // Pool runs the workers of the engines that this daemon owns. It is safe for
@@ -131,14 +132,28 @@
 	return p.workers[engine]
 }
 
-// Ask takes over that requests at an entry wait for an adapter, and returns
+// Ask takes over that a request waits for its turn at an engine, and returns
 // how it stands. Later changes are told by Config.Tell.
-func (p *Pool) Ask(entry, engine string, adapter topology.Adapter, version int64, weight float64) residency.Status {
+func (p *Pool) Ask(engine string, request admission.Request) residency.Status {
 	w := p.worker(engine)
 	if w == nil {
 		return residency.Elsewhere
 	}
-	return w.ask(clock.Boot(), entry, adapter, version, weight)
+	return w.ask(clock.Boot(), request)
+}
+
+// Want asks for an adapter at an engine for later requests.
+func (p *Pool) Want(engine string, adapter topology.Adapter, version int64) {
+	if w := p.worker(engine); w != nil {
+		w.want(clock.Boot(), adapter, version)
+	}
+}
+
+// Begun takes over that a request's turn at an engine is over.
+func (p *Pool) Begun(engine string, key admission.Key) {
+	if w := p.worker(engine); w != nil {
+		w.begun(clock.Boot(), key)
+	}
 }
 
 // Use takes over an entry's use of an engine.
--- a/internal/orders/worker.go
+++ b/internal/orders/worker.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/barleylift/barleylift/internal/admission"
 	"github.com/barleylift/barleylift/internal/clock"
 	"github.com/barleylift/barleylift/internal/fleet"
 	"github.com/barleylift/barleylift/internal/residency"
@@ -31,18 +32,12 @@
 	mu       sync.Mutex
 	upstream topology.Upstream
 	engine   *residency.Engine
+	gate     *admission.Gate
 	token    fleet.Token
 	allowed  bool
-	askers   map[asked]map[string]bool
 	running  map[string]entryRunning
 }
 
-// asked is what entries wait for.
-type asked struct {
-	adapter topology.Adapter
-	version int64
-}
-
 // entryRunning is an entry's number of running requests and when it was told.
 type entryRunning struct {
 	requests int
@@ -57,7 +52,7 @@
 		ended:    make(chan struct{}),
 		upstream: a.Engine,
 		engine:   residency.NewEngine(a.Spec),
-		askers:   make(map[asked]map[string]bool),
+		gate:     admission.NewGate(),
 		running:  make(map[string]entryRunning),
 	}
 	w.engine.Restarted(a.Engine.Born)
@@ -89,26 +84,77 @@
 	w.signal()
 }
 
-func (w *worker) ask(now time.Duration, entry string, adapter topology.Adapter, version int64, weight float64) residency.Status {
+func (w *worker) ask(now time.Duration, request admission.Request) residency.Status {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if !w.allowed || w.upstream.Leaving {
-		return residency.Elsewhere
+	if w.gate.Has(request.Key) {
+		return residency.Ready
 	}
-	status := w.engine.Status(adapter, version)
-	if status == residency.Ready {
+	status := w.status(request.Adapter, request.Version)
+	if status == residency.Elsewhere {
+		return status
+	}
+	w.gate.Ask(now, request)
+	if status == residency.Waiting {
+		w.engine.Want(now, request.Adapter, request.Version, 1)
+		w.signal()
 		return status
 	}
-	w.engine.Want(now, adapter, version, weight)
-	key := asked{adapter, version}
-	if w.askers[key] == nil {
-		w.askers[key] = make(map[string]bool)
+	w.decide(now, request.Key)
+	if w.gate.Has(request.Key) {
+		return residency.Ready
 	}
-	w.askers[key][entry] = true
+	return residency.Waiting
+}
+
+func (w *worker) want(now time.Duration, adapter topology.Adapter, version int64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.engine.Want(now, adapter, version, 1)
 	w.signal()
+}
+
+func (w *worker) begun(now time.Duration, key admission.Key) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.gate.Begun(now, key)
+	w.decide(now, admission.Key{})
+}
+
+// status tells how an adapter stands, the base model's included. Without the
+// right to order, only what is held can be used. The caller holds mu.
+func (w *worker) status(adapter topology.Adapter, version int64) residency.Status {
+	if w.upstream.Leaving {
+		return residency.Elsewhere
+	}
+	if _, known := w.engine.Known(); !known {
+		if held, ok := w.upstream.VersionOf(adapter); ok && held >= version || adapter.Name == "" && w.upstream.Holds(adapter.Model) {
+			return residency.Ready
+		}
+	} else if adapter.Name == "" && w.engine.HasModel() {
+		return residency.Ready
+	}
+	status := w.engine.Status(adapter, version)
+	if status == residency.Waiting && (!w.allowed || adapter.Name == "") {
+		return residency.Elsewhere
+	}
 	return status
 }
 
+// decide hands out turns and tells the entries, but for the request that is
+// just being answered. The caller holds mu; telling does no I/O that blocks.
+func (w *worker) decide(now time.Duration, answering admission.Key) {
+	for _, d := range w.gate.Next(now, w.status) {
+		if d.Status == residency.Ready {
+			w.engine.Touch(now, d.Adapter)
+		}
+		if d.Key == answering {
+			continue
+		}
+		w.pool.config.Tell(d.Key.Entry, News{Engine: w.upstream.ID, Ticket: d.Key.Ticket, Status: d.Status})
+	}
+}
+
 func (w *worker) use(now time.Duration, entry string, running int, uses []residency.Use) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -128,9 +174,10 @@
 		Engine: w.upstream.ID,
 		Born:   w.engine.Born(),
 		Orders: orders,
-		Queue:  w.engine.Queue(),
+		Loads:  w.engine.Loads(),
 		Held:   w.engine.Held(),
 	}
+	state.Waiting, _ = w.gate.Queue()
 	for _, r := range w.running {
 		if now-r.at < runningSilence {
 			state.Running += r.requests
@@ -160,22 +207,31 @@
 // step does what is due and returns the time to the next step.
 func (w *worker) step(ctx context.Context) time.Duration {
 	for ctx.Err() == nil {
-		if !w.checkAllowed() {
-			return notAllowedWait
-		}
+		allowed := w.checkAllowed()
+		now := clock.Boot()
 		w.mu.Lock()
-		action := w.engine.Next(clock.Boot())
+		w.gate.Wanted(func(adapter topology.Adapter, version int64, weight float64) {
+			if adapter.Name != "" {
+				w.engine.Want(now, adapter, version, weight)
+			}
+		})
+		w.decide(now, admission.Key{})
+		turnWait := w.gate.Wait(now)
+		if !allowed {
+			w.mu.Unlock()
+			return min(notAllowedWait, turnWait)
+		}
+		action := w.engine.Next(now)
 		upstream := w.upstream
 		token := w.token
 		w.mu.Unlock()
-		w.tell()
 		switch {
 		case action.Report:
 			w.report(ctx, upstream)
 		case action.Order != nil:
 			w.order(ctx, upstream, *action.Order, token)
 		default:
-			return action.Wait
+			return min(action.Wait, turnWait)
 		}
 	}
 	return notAllowedWait
@@ -195,9 +251,6 @@
 		w.log.Info("right to order changed", "allowed", allowed, "token", int64(token))
 	}
 	w.allowed = allowed && !w.upstream.Leaving
-	if !w.allowed {
-		w.declineAll()
-	}
 	return w.allowed
 }
 
@@ -207,33 +260,6 @@
 	return w.upstream.ID
 }
 
-// declineAll tells all askers to go elsewhere. The caller holds mu, because
-// the askers are changed; telling does no I/O that blocks.
-func (w *worker) declineAll() {
-	for key, entries := range w.askers {
-		for entry := range entries {
-			w.pool.config.Tell(entry, News{Engine: w.upstream.ID, Adapter: key.adapter, Version: key.version, Status: residency.Elsewhere})
-		}
-	}
-	clear(w.askers)
-}
-
-// tell passes on what is no longer waiting.
-func (w *worker) tell() {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	for key, entries := range w.askers {
-		status := w.engine.Status(key.adapter, key.version)
-		if status == residency.Waiting {
-			continue
-		}
-		for entry := range entries {
-			w.pool.config.Tell(entry, News{Engine: w.upstream.ID, Adapter: key.adapter, Version: key.version, Status: status})
-		}
-		delete(w.askers, key)
-	}
-}
-
 func (w *worker) report(ctx context.Context, upstream topology.Upstream) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -36,7 +36,11 @@
 	runs  int
 	// tried lists upstreams that are not to be used again.
 	tried []string
-	// waited is the time spent on waiting for adapters.
+	// turnEngine and turnTicket name the turn of which the engine's owner is to
+	// be told that it is over; 0 if there is none.
+	turnEngine string
+	turnTicket uint64
+	// waited is the time spent on waiting for adapters and turns.
 	waited time.Duration
 	// headSent tells that the caller has got the head of an answer.
 	headSent bool
--- a/internal/relay/model.go
+++ b/internal/relay/model.go
@@ -1,7 +1,6 @@
 package relay
 
 import (
-	"context"
 	"errors"
 	"io"
 	"net/http"
@@ -9,7 +8,7 @@
 	"time"
 
 	"github.com/barleylift/barleylift/internal/clock"
-	"github.com/barleylift/barleylift/internal/residency"
+	"github.com/barleylift/barleylift/internal/locator"
 	"github.com/barleylift/barleylift/internal/routing"
 	"github.com/barleylift/barleylift/internal/steer"
 	"github.com/barleylift/barleylift/internal/topology"
@@ -17,10 +16,6 @@
 
 // Constants of model requests.
 const (
-	// maxLoadWait bounds the wait for an adapter. A load takes some 250 ms; a
-	// request that has waited this long would miss its objective by far, and
-	// its caller is better told when to come back.
-	maxLoadWait = 4 * time.Second
 	// declinedSleep is kept between two choices when an engine's owner declined.
 	declinedSleep = 30 * time.Millisecond
 	// reuseAge is how long a connection may have been idle for a request that
@@ -48,30 +43,19 @@
 			return
 		}
 		if choice.Spread != "" {
-			e.relay.config.Locator.Request(choice.Spread, e.call.Adapter, e.weight())
+			e.relay.config.Locator.Request(choice.Spread, e.call.Adapter)
 		}
-		if choice.Load {
-			ready, again := e.awaitAdapter(choice.Engine)
-			if !again {
-				return
-			}
-			if !ready {
-				continue
-			}
+		if e.sends > 0 && !e.mayRepeat("engine") {
+			e.giveUp(http.StatusBadGateway, retryAfterBudget, e.repeatRefused())
+			return
 		}
-		if e.tryEngine(choice.Engine) {
+		ticket, granted := e.awaitTurn(choice)
+		if granted && e.tryEngine(choice.Engine, ticket) {
 			return
 		}
 	}
 }
 
-// weight is the request's value in the queue for adapters: more urgent routes
-// weigh more.
-func (e *exchange) weight() float64 {
-	const lowest = 4
-	return float64(1 + max(lowest-e.route.Rank, 0))
-}
-
 // pickEngine chooses an engine. When all were tried, those that only refused
 // are tried again.
 func (e *exchange) pickEngine() (steer.Choice, bool) {
@@ -86,45 +70,58 @@
 	return steer.Pick(e.call.Adapter, engines)
 }
 
-// awaitAdapter waits for the adapter at an engine. Again tells that the
-// request is to be pursued.
-func (e *exchange) awaitAdapter(engine string) (ready, again bool) {
-	left := maxLoadWait - e.waited
-	if left <= 0 {
-		e.giveUp(http.StatusBadGateway, retryAfterBusy, "the adapter could not be loaded in time")
-		return false, false
+// awaitTurn waits until the request may begin at the chosen engine: its
+// adapter is there, and it has its turn. The ticket is 0 if nobody hands out
+// turns there.
+func (e *exchange) awaitTurn(choice steer.Choice) (ticket uint64, granted bool) {
+	engines := e.relay.config.Locator
+	if !choice.Load && !engines.Owned(choice.Engine) {
+		return 0, true
 	}
 	started := time.Now()
-	ctx, cancel := context.WithTimeout(e.ctx, left)
-	status := e.relay.config.Locator.Await(ctx, engine, e.call.Adapter, e.weight())
-	if status == residency.Elsewhere {
-		clock.Sleep(ctx, declinedSleep)
+	now := clock.Boot()
+	ticket = engines.Ticket()
+	turn := engines.Await(e.ctx, choice.Engine, locator.Ask{
+		Ticket:  ticket,
+		Adapter: e.call.Adapter,
+		Tokens:  e.call.PromptTokens,
+		Rank:    e.route.Rank,
+		Pause:   e.route.PauseObjective,
+		Due:     now + e.route.Objective - time.Since(e.arrived),
+		Expires: now + e.timeLeft(),
+	})
+	if turn == locator.Declined {
+		clock.Sleep(e.ctx, declinedSleep)
 	}
-	cancel()
 	waited := time.Since(started)
 	e.waited += waited
 	e.relay.config.Metrics.LoadWait(e.route.Name, waited)
-	return status == residency.Ready, true
+	switch turn {
+	case locator.Begin:
+		return ticket, true
+	case locator.Unowned:
+		return 0, !choice.Load
+	default:
+		return 0, false
+	}
 }
 
 // tryEngine sends the request to an engine and passes its answer on. It
 // returns true when the request has ended.
-func (e *exchange) tryEngine(id string) bool {
-	locator := e.relay.config.Locator
-	upstream, ok := locator.Upstream(id)
+func (e *exchange) tryEngine(id string, ticket uint64) bool {
+	engines := e.relay.config.Locator
+	e.begin(id, ticket)
+	defer e.begun()
+	upstream, ok := engines.Upstream(id)
 	if !ok {
 		e.tried = append(e.tried, id)
 		return false
 	}
-	if e.sends > 0 && !e.mayRepeat("engine") {
-		e.giveUp(http.StatusBadGateway, retryAfterBudget, e.repeatRefused())
-		return true
-	}
 	e.upstream = id
-	locator.Begin(id, e.call.Adapter)
-	defer locator.End(id, e.call.Adapter)
+	engines.Begin(id, e.call.Adapter)
+	defer engines.End(id, e.call.Adapter)
 	result := e.send(e.ctx, upstream, Sending{
-		Version:   locator.Version(id, e.call.Adapter),
+		Version:   engines.Version(id, e.call.Adapter),
 		Urgency:   e.route.Rank,
 		LastEvent: e.lastEvent,
 	}, e.reuse())
@@ -139,6 +136,20 @@
 	return e.passOn(upstream, result)
 }
 
+// begin notes the turn of which the owner is to be told that it is over.
+func (e *exchange) begin(engine string, ticket uint64) {
+	e.turnEngine = engine
+	e.turnTicket = ticket
+}
+
+// begun tells the owner of the engine that the turn is over.
+func (e *exchange) begun() {
+	if e.turnTicket != 0 {
+		e.relay.config.Locator.Begun(e.turnEngine, e.turnTicket)
+		e.turnTicket = 0
+	}
+}
+
 // count takes over what a send means for later ones.
 func (e *exchange) count(result sent) {
 	if result.written {
@@ -259,6 +270,7 @@
 		if !e.follows(event.id) {
 			return e.streamEnded(upstream, result, nil, errOrder)
 		}
+		e.begun()
 		e.sendHead(result)
 		if _, err := e.w.Write(event.raw); err != nil {
 			return e.callerLost(result)
@@ -322,7 +334,7 @@
 
 // streamEnded judges the end of a stream from one engine.
 func (e *exchange) streamEnded(upstream topology.Upstream, result sent, rest []byte, err error) bool {
-	locator := e.relay.config.Locator
+	engines := e.relay.config.Locator
 	if err == io.EOF && (result.response.Framed() || len(rest) == 0) {
 		e.sendHead(result)
 		if len(rest) > 0 {
@@ -331,7 +343,7 @@
 			}
 		}
 		result.response.Release()
-		locator.Succeeded(upstream.ID, 0)
+		engines.Succeeded(upstream.ID, 0)
 		e.outcome = outcomeAnswered
 		return true
 	}
@@ -340,7 +352,7 @@
 		return e.over()
 	}
 	e.relay.log.Info("stream broke off", "id", e.call.ID, "upstream", upstream.ID, "events", e.events, "last_event", e.lastEvent, "error", err)
-	locator.Failed(upstream.ID)
+	engines.Failed(upstream.ID)
 	e.tried = append(e.tried, upstream.ID)
 	if !e.route.Idempotent() || e.runs >= e.route.MaxAttempts {
 		e.giveUp(http.StatusBadGateway, 0, "the engine broke the stream off")
--- a/internal/residency/engine.go
+++ b/internal/residency/engine.go
@@ -198,6 +198,13 @@
 	Running int
 }
 
+// Touch notes that a request for an adapter is about to be sent.
+func (e *Engine) Touch(now time.Duration, adapter topology.Adapter) {
+	if p := e.places[adapter]; p != nil {
+		p.lastUse = now
+	}
+}
+
 // Drop forgets an entry that has gone.
 func (e *Engine) Drop(entry string) {
 	delete(e.running, entry)
@@ -275,8 +282,8 @@
 	return e.orders, e.known
 }
 
-// Queue returns the number of adapters that wait for a load or are on their way.
-func (e *Engine) Queue() int {
+// Loads returns the number of adapters that wait for a load or are on their way.
+func (e *Engine) Loads() int {
 	n := 0
 	for adapter := range e.wants {
 		if p := e.places[adapter]; p == nil || p.phase != ready {
--- a/internal/residency/next.go
+++ b/internal/residency/next.go
@@ -124,7 +124,7 @@
 	if !e.modelLoading && !e.HasModel() && e.spec.Model != "" {
 		wait = min(wait, e.spec.ModelFrom-now)
 	}
-	if e.Queue() > 0 {
+	if e.Loads() > 0 {
 		wait = min(wait, maxRecheck/5)
 	}
 	return max(wait, time.Millisecond)
--- a/internal/steer/engine.go
+++ b/internal/steer/engine.go
@@ -10,22 +10,24 @@
 
 // Constants of the choice of an engine.
 const (
-	// spreadFactor and spreadOffset tell when an adapter's engines count as
-	// overloaded: above the mean of all engines by that factor and offset, in
-	// running requests.
-	spreadFactor = 1.5
-	spreadOffset = 6
-	// spreadGain is the load of another engine, relative to that of the least
-	// loaded holder, below which it is worth loading the adapter there too.
-	spreadGain = 0.6
-	// longQueue is the number of adapters that wait for a load at an engine at
+	// spreadQueue is the number of requests that wait for their turn at the
+	// least loaded holder from which on the adapter is spread: a quarter of a
+	// second of prompts.
+	spreadQueue = 3
+	// spreadGain is how many fewer must wait at another engine for it to be
+	// worth loading the adapter there.
+	spreadGain = 2
+	// longLoads is the number of adapters that wait for a load at an engine at
 	// which a cold adapter goes to the next engine: about a second of loads.
-	longQueue = 4
+	longLoads = 4
 	// ranks bounds how far from its home an adapter is loaded.
 	ranks = 4
-	// busyMargin is how much more loaded than the next engine a home must be,
-	// beyond the spread factor, to be passed over for a cold adapter.
-	busyMargin = 10
+	// busyQueue is how many more requests than at the next engine must wait at
+	// a home for a cold adapter to be loaded at the next one.
+	busyQueue = 4
+	// runningPerQueued weighs running requests against waiting ones: they
+	// share the steps, but only prompts stretch these.
+	runningPerQueued = 16
 )
 
 // Engine is what is known of an engine at the moment of a choice.
@@ -42,8 +44,10 @@
 	Outdated bool
 	// Orderless tells that nobody can order the engine at present.
 	Orderless bool
-	// Queue is the number of adapters that wait for a load there.
-	Queue int
+	// Loads is the number of adapters that wait for a load there.
+	Loads int
+	// Queued is the number of requests that wait for their turn there.
+	Queued int
 	// Suspect tells that requests to the engine have failed lately.
 	Suspect bool
 }
@@ -118,16 +122,25 @@
 	return sound
 }
 
-// least returns the engine with the fewest running requests for its slots.
+// least returns the engine with the least load.
 func least(engines []Engine) Engine {
 	return slices.MinFunc(engines, func(a, b Engine) int {
-		if c := cmp.Compare(a.Running*max(b.Slots, 1), b.Running*max(a.Slots, 1)); c != 0 {
+		if c := cmp.Compare(a.load(), b.load()); c != 0 {
 			return c
 		}
 		return cmp.Compare(a.ID, b.ID)
 	})
 }
 
+// load is the engine's load in waiting requests.
+func (e Engine) load() float64 {
+	load := float64(e.Queued) + float64(e.Running)/runningPerQueued
+	if e.Slots > 0 && e.Running >= e.Slots {
+		load += float64(e.Running - e.Slots + 1)
+	}
+	return load
+}
+
 // order returns the engines in the adapter's rendezvous order.
 func order(adapter topology.Adapter, engines []Engine) []Engine {
 	byID := make(map[string]Engine, len(engines))
@@ -145,17 +158,18 @@
 }
 
 // home returns where a cold adapter is loaded: the first engine of its order
-// that can be ordered, has no long queue and is not far more loaded than the next.
+// that can be ordered, has few loads to do and is not far more loaded than the
+// next.
 func home(adapter topology.Adapter, engines []Engine) string {
 	ordered := order(adapter, engines)
 	for i, e := range ordered {
-		if e.Orderless || e.Queue >= longQueue {
+		if e.Orderless || e.Loads >= longLoads {
 			continue
 		}
 		if i+1 < len(ordered) {
 			next := ordered[i+1]
-			overloaded := float64(e.Running) > spreadFactor*float64(next.Running)+busyMargin
-			if overloaded && !next.Orderless && next.Queue < longQueue {
+			overloaded := e.load() > next.load()+busyQueue
+			if overloaded && !next.Orderless && next.Loads < longLoads {
 				continue
 			}
 		}
@@ -168,23 +182,19 @@
 			}
 			return 1
 		}
-		return cmp.Compare(a.Queue, b.Queue)
+		return cmp.Compare(a.Loads, b.Loads)
 	})
 	return shortest.ID
 }
 
-// spread returns the engine to which a hot adapter should be loaded as well.
+// spread returns the engine to which a hot adapter should be loaded as well;
+// best is the least loaded one that holds it.
 func spread(adapter topology.Adapter, engines []Engine, best Engine) string {
-	total := 0
-	for _, e := range engines {
-		total += e.Running
-	}
-	mean := float64(total) / float64(len(engines))
-	if float64(best.Running) <= spreadFactor*mean+spreadOffset {
+	if best.Queued < spreadQueue {
 		return ""
 	}
 	for _, e := range order(adapter, engines) {
-		if !e.Holds && !e.Orderless && e.Queue < longQueue && float64(e.Running) < spreadGain*float64(best.Running) {
+		if !e.Holds && !e.Orderless && e.Loads < longLoads && e.load()+spreadGain <= best.load() {
 			return e.ID
 		}
 	}
