admission: turns in batches, with two steps between the batches

Ruled out: waiting for adapters (first events in time). Prompts now begin together, up to 0.6 of the pause objective, and the next ones two steps after the first events of all of them.

--- a/internal/admission/doc.go
+++ b/internal/admission/doc.go
@@ -6,6 +6,6 @@
 // that begin together stretch the pauses of every stream on the engine beyond
 // their objective, while the same prompts one after the other still meet
 // theirs. So the daemon that orders an engine hands out the turns to begin: as
-// many prompts at once as fit into a share of the objective for pauses. The
-// first event of a prompt's answer tells that its turn is over.
+// many prompts at once as fit into a share of the objective for pauses, and
+// the next ones some steps after the first events of all of them.
 package admission
--- a/internal/admission/gate.go
+++ b/internal/admission/gate.go
@@ -16,8 +16,9 @@
 	pauseShare = 0.6
 	// defaultPause stands for routes without an objective for pauses.
 	defaultPause = 300 * time.Millisecond
-	// maxTurns bounds the prompts that are read at once.
-	maxTurns = 3
+	// breath is kept between the end of some turns and the next ones: two steps
+	// of some 9 ms, so that an event of three tokens meets prompts once only.
+	breath = 20 * time.Millisecond
 	// firstPerToken is the time to read one prompt token until it was measured.
 	firstPerToken = 55 * time.Microsecond
 	// leastPerToken and mostPerToken bound what is measured.
@@ -80,6 +81,8 @@
 	waiting  map[Key]*waiting
 	turns    map[Key]turn
 	perToken time.Duration
+	// ended is when the last turn ended, if any has.
+	ended time.Duration
 	// granted counts turns, for the share of late requests.
 	granted int
 }
@@ -118,6 +121,7 @@
 		return
 	}
 	delete(g.turns, key)
+	g.ended = now
 	if t.alone && t.tokens > 0 {
 		g.measure(now-t.began, t.tokens)
 	}
@@ -189,6 +193,9 @@
 			delete(g.waiting, key)
 		}
 	}
+	if len(g.turns) > 0 || now < g.ended+breath {
+		return decisions
+	}
 	for len(ready) > 0 {
 		i := g.pick(now, ready)
 		if !g.fits(ready[i].Request) {
@@ -210,11 +217,12 @@
 	for key, t := range g.turns {
 		if now-t.began > 2*g.reading(t.tokens)+lostTurn {
 			delete(g.turns, key)
+			g.ended = now
 		}
 	}
 }
 
-// fits reports whether a prompt may be read beside those that are.
+// fits reports whether a prompt may begin together with those that just did.
 func (g *Gate) fits(r Request) bool {
 	if len(g.turns) == 0 {
 		return true
@@ -227,7 +235,7 @@
 	for _, t := range g.turns {
 		reading += g.reading(t.tokens)
 	}
-	return len(g.turns) < maxTurns && reading <= time.Duration(pauseShare*float64(pause))
+	return reading <= time.Duration(pauseShare*float64(pause))
 }
 
 // pick returns the request that begins next: of those that can still meet
@@ -272,9 +280,12 @@
 	g.granted++
 }
 
-// Wait returns how soon a turn may end by itself.
+// Wait returns how soon turns may begin, or end by themselves.
 func (g *Gate) Wait(now time.Duration) time.Duration {
 	wait := time.Second
+	if len(g.turns) == 0 && len(g.waiting) > 0 && g.ended+breath > now {
+		wait = g.ended + breath - now
+	}
 	for _, t := range g.turns {
 		wait = min(wait, t.began+2*g.reading(t.tokens)+lostTurn-now)
 	}
--- a/internal/orders/worker.go
+++ b/internal/orders/worker.go
@@ -119,6 +119,7 @@
 	defer w.mu.Unlock()
 	w.gate.Begun(now, key)
 	w.decide(now, admission.Key{})
+	w.signal()
 }
 
 // status tells how an adapter stands, the base model's included. Without the
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -47,6 +47,11 @@
 	// lastEvent is the last whole event that was passed on.
 	lastEvent string
 	events    int
+	// first is the time to the first event, and pause the longest time
+	// between two events; last is when the last event came.
+	first time.Duration
+	pause time.Duration
+	last  time.Time
 	// outcome, status and reason are for the log.
 	outcome  string
 	status   int
@@ -77,7 +82,7 @@
 	e.relay.config.Metrics.Ended(e.route.Name, e.outcome, took)
 	e.relay.log.Info("request ended", "id", e.call.ID, "route", e.route.Name, "version", e.table.Version(), "outcome", e.outcome,
 		"status", e.status, "reason", e.reason, "upstream", e.upstream, "adapter", e.call.Adapter.String(), "sends", e.sends, "runs", e.runs,
-		"events", e.events, "waited_ms", e.waited.Milliseconds(), "took_ms", took.Milliseconds())
+		"events", e.events, "first_ms", e.first.Milliseconds(), "pause_ms", e.pause.Milliseconds(), "waited_ms", e.waited.Milliseconds(), "took_ms", took.Milliseconds())
 	if e.outcome == outcomeBroken || e.outcome == outcomeLeft {
 		panic(http.ErrAbortHandler)
 	}
--- a/internal/relay/model.go
+++ b/internal/relay/model.go
@@ -281,11 +281,20 @@
 		if event.id != "" {
 			e.lastEvent = event.id
 		}
-		if e.events == 0 {
-			e.relay.config.Metrics.FirstEvent(e.route.Name, time.Since(e.arrived))
-		}
-		e.events++
+		e.passed(time.Now())
+	}
+}
+
+// passed notes an event that was passed on.
+func (e *exchange) passed(now time.Time) {
+	if e.events == 0 {
+		e.first = now.Sub(e.arrived)
+		e.relay.config.Metrics.FirstEvent(e.route.Name, e.first)
+	} else {
+		e.pause = max(e.pause, now.Sub(e.last))
 	}
+	e.last = now
+	e.events++
 }
 
 // follows reports whether an event's identifier is higher than that of the
