fleet: claim engines by rank and equal part; relay: no spin on engines without an owner

Cause: engines of draining daemons went to whoever asked first, because the wait of a rank counted from the record's last change; with all daemons stopped in turn one had 6 of 9 engines, then froze, and requests for cold adapters asked its engines in a loop without a pause (16,000 log lines in 2 s).

--- a/internal/fleet/table.go
+++ b/internal/fleet/table.go
@@ -15,6 +15,8 @@
 type seenMember struct {
 	Member
 	revision int64
+	// drainingSince is when the member was first seen to be draining.
+	drainingSince time.Duration
 }
 
 // engine is what is known about the ordering of one engine.
@@ -95,7 +97,11 @@
 		t.lost[name] = now
 		return
 	}
-	t.members[name] = seenMember{Member: member, revision: change.Entry.ModRevision}
+	seen := seenMember{Member: member, revision: change.Entry.ModRevision, drainingSince: now}
+	if before := t.members[name]; before.Draining && before.Boot == member.Boot {
+		seen.drainingSince = before.drainingSince
+	}
+	t.members[name] = seen
 	delete(t.lost, name)
 }
 
@@ -248,13 +254,13 @@
 		// The members that start at the same time are not all known yet.
 		return false
 	}
-	wait := time.Duration(min(t.rank(id), maxPlaces)) * rankStep
+	wait := time.Duration(min(t.rank(id)+t.excess(), maxPlaces)) * rankStep
 	if e.Member == "" {
 		return now-e.changed >= wait
 	}
 	former, present := t.members[e.Member]
 	if present {
-		return former.Draining && now-e.changed >= wait
+		return former.Draining && now-former.drainingSince >= wait
 	}
 	since, known := t.lost[e.Member]
 	if !known {
@@ -282,6 +288,29 @@
 	return maxPlaces
 }
 
+// excess returns how many engines this daemon would order beyond an equal part
+// if it claimed one more. Others are let go first by that many ranks.
+func (t *Table) excess() int {
+	present, mine := 0, 0
+	for _, e := range t.engines {
+		if !e.present {
+			continue
+		}
+		present++
+		if t.mine(e) || e.pending {
+			mine++
+		}
+	}
+	active := 1
+	for name, m := range t.members {
+		if name != t.self.Name && !m.Draining {
+			active++
+		}
+	}
+	part := (present + active - 1) / active
+	return max(mine+1-part, 0)
+}
+
 // claim builds the transaction that makes this daemon the one that orders the
 // engines. It holds only as long as no former daemon is back.
 func (t *Table) claim(now time.Duration, ids []string) Claim {
--- a/internal/relay/model.go
+++ b/internal/relay/model.go
@@ -100,6 +100,9 @@
 	case locator.Begin:
 		return ticket, true
 	case locator.Unowned:
+		if choice.Load {
+			clock.Sleep(e.ctx, declinedSleep)
+		}
 		return 0, !choice.Load
 	default:
 		return 0, false
