--- a/cmd/barleylift/gateway.go
+++ b/cmd/barleylift/gateway.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"os"
-	"time"
 
 	"github.com/barleylift/barleylift/internal/command"
 	"github.com/barleylift/barleylift/internal/gateway"
@@ -13,10 +12,6 @@
 	"github.com/prometheus/client_golang/prometheus"
 )
 
-// watchPause gathers changes of the platform's store that come close together.
-// It takes a tenth of the time in which a configuration must be in force.
-const watchPause = 200 * time.Millisecond
-
 // runGateway runs a daemon on the users' platform.
 func runGateway(ctx context.Context, o command.GatewayOptions) error {
 	path := os.Getenv(platform.SettingsVariable)
@@ -30,7 +25,7 @@
 	meters := metrics.NewGateway(registry)
 	return gateway.Run(ctx, gateway.Options{
 		Settings: settings,
-		Platform: platform.New(settings.Store.String(), watchPause, meters.KVCall),
+		Platform: platform.New(settings.Store.String(), meters.KVCall),
 		Reload:   func() (gateway.Settings, error) { return platform.LoadSettings(path) },
 		Metrics:  o.Metrics,
 		Registry: registry,
--- a/internal/gateway/apply.go
+++ b/internal/gateway/apply.go
@@ -20,7 +20,11 @@
 
 // apply takes over changes of the key-value service.
 func (g *Gateway) apply(changes []mirror.Change, revision int64) {
+	var telling []mirror.Change
 	for _, change := range changes {
+		if g.worthTelling(change) {
+			telling = append(telling, change)
+		}
 		update, err := g.platform.Decode(change)
 		if err != nil {
 			g.log.Warn("unusable value in the key-value service", "key", change.Entry.Key, "revision", change.Entry.ModRevision, "error", err)
@@ -38,6 +42,10 @@
 		}
 	}
 	g.keeper.Apply(changes, revision)
+	if g.primed.Swap(true) {
+		// The first read is no news to the others.
+		g.tellChanges(telling)
+	}
 	g.budgets.setMembers(len(g.keeper.Members()))
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -59,6 +59,8 @@
 
 	draining  atomic.Bool
 	storeDown atomic.Bool
+	// primed tells that the first read of the service has been taken over.
+	primed atomic.Bool
 	// storeBack is when the service was last regained, by clock.Boot.
 	storeBack atomic.Int64
 
--- a/internal/gateway/notices.go
+++ b/internal/gateway/notices.go
@@ -10,6 +10,7 @@
 	"github.com/barleylift/barleylift/internal/fleet"
 	"github.com/barleylift/barleylift/internal/locator"
 	"github.com/barleylift/barleylift/internal/mesh"
+	"github.com/barleylift/barleylift/internal/mirror"
 	"github.com/barleylift/barleylift/internal/orders"
 	"github.com/barleylift/barleylift/internal/residency"
 	"github.com/barleylift/barleylift/internal/topology"
@@ -69,6 +70,7 @@
 		if !clock.Sleep(ctx, noticePeriod(len(members))) {
 			return
 		}
+		g.setWatchPause()
 		g.sendNotices(members)
 	}
 }
@@ -118,6 +120,8 @@
 	case packet.News != nil:
 		news := packet.News
 		g.locator.Told(orders.News{Engine: news.Engine, Ticket: news.Ticket, Status: residency.Status(news.Status)})
+	case packet.Change != nil:
+		g.mirror.Inject([]mirror.Change{changeOf(packet.Change)})
 	case packet.Begun != nil:
 		g.orders.Begun(packet.Begun.Engine, admission.Key{Entry: packet.From, Ticket: packet.Begun.Ticket})
 	}
--- a/internal/gateway/platform.go
+++ b/internal/gateway/platform.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"time"
 
 	"github.com/barleylift/barleylift/internal/hop"
 	"github.com/barleylift/barleylift/internal/infra"
@@ -18,6 +19,9 @@
 	Store() infra.KV
 	// SetStore moves later calls of that client to another address.
 	SetStore(address string)
+	// SetWatchPause sets the least time between two answers of a watch of that
+	// client, so that changes that come close together cost one call.
+	SetWatchPause(pause time.Duration)
 	// Protocol translates requests and answers.
 	Protocol() relay.Protocol
 	// Engines returns the client for orders to engines.
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -32,6 +32,8 @@
 	// daemon may order it.
 	Quiet  time.Duration
 	Budget BudgetSettings
+	// UpToDate is how soon a change of the key-value service must be in force.
+	UpToDate time.Duration
 	// MaxAnswerAge bounds how long callers keep an answer about entries.
 	MaxAnswerAge time.Duration
 	// LeastLease is the shortest time to live of a lease.
@@ -67,6 +69,8 @@
 		return &SettingError{"Grace", "must be positive"}
 	case s.Quiet <= 0:
 		return &SettingError{"Quiet", "must be positive"}
+	case s.UpToDate <= 0:
+		return &SettingError{"UpToDate", "must be positive"}
 	case s.Budget.Share < 0 || s.Budget.Share > 1:
 		return &SettingError{"Budget.Share", "must be from 0 to 1"}
 	case s.Budget.Window <= 0:
--- a/internal/mesh/packet.go
+++ b/internal/mesh/packet.go
@@ -14,6 +14,7 @@
 	Ask    *Ask    `cbor:"4,keyasint,omitempty"`
 	News   *News   `cbor:"5,keyasint,omitempty"`
 	Begun  *Begun  `cbor:"6,keyasint,omitempty"`
+	Change *Change `cbor:"7,keyasint,omitempty"`
 }
 
 // Notice is what a daemon tells another one periodically.
@@ -91,6 +92,16 @@
 	Ticket uint64 `cbor:"2,keyasint"`
 }
 
+// Change is a change of the key-value service that the sender has seen.
+type Change struct {
+	Key      string `cbor:"1,keyasint"`
+	Value    []byte `cbor:"2,keyasint,omitempty"`
+	Created  int64  `cbor:"3,keyasint,omitempty"`
+	Revision int64  `cbor:"4,keyasint"`
+	Lease    int64  `cbor:"5,keyasint,omitempty"`
+	Deleted  bool   `cbor:"6,keyasint,omitempty"`
+}
+
 // encode returns the datagrams of a packet: one, or several if a notice is
 // too large for one.
 func encode(packet Packet) ([][]byte, error) {
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -8,7 +8,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/barleylift/barleylift/internal/clock"
 	"github.com/barleylift/barleylift/internal/infra"
 )
 
@@ -44,19 +43,31 @@
 type Mirror struct {
 	config Config
 	log    *slog.Logger
-	// known maps each key to the revision of its last change. Only Run uses it.
-	known    map[string]int64
+	// known holds the last change of each key. Only Run uses it.
+	known map[string]knownKey
+	// news are changes that came by another way than the watch.
+	news     chan []Change
 	revision atomic.Int64
 	up       bool
 	started  bool
 }
 
+// knownKey is the last change of a key that was delivered.
+type knownKey struct {
+	revision int64
+	// deleted marks a key that is gone; it is kept until no older change can come.
+	deleted bool
+}
+
+// newsRoom is the number of Inject calls that may wait for Run.
+const newsRoom = 64
+
 // New returns a Mirror that is not running.
 func New(config Config) (*Mirror, error) {
 	if config.KV == nil || config.Apply == nil || config.Log == nil {
 		return nil, errors.New("mirror: KV, Apply and Log are required")
 	}
-	return &Mirror{config: config, log: config.Log.With("part", "store"), known: make(map[string]int64)}, nil
+	return &Mirror{config: config, log: config.Log.With("part", "store"), known: make(map[string]knownKey), news: make(chan []Change, newsRoom)}, nil
 }
 
 // Revision returns the revision up to which the copy is complete; 0 before
@@ -65,6 +76,17 @@
 	return m.revision.Load()
 }
 
+// Inject takes over changes that another daemon has seen already. What the copy
+// reflects is ignored; the watch brings the same changes later. Changes are
+// dropped if Run is far behind.
+func (m *Mirror) Inject(changes []Change) {
+	select {
+	case m.news <- changes:
+	default:
+		m.log.Debug("changes from another daemon dropped, the watch will bring them", "changes", len(changes))
+	}
+}
+
 // Run follows the keys until ctx ends.
 func (m *Mirror) Run(ctx context.Context) {
 	failures := 0
@@ -94,12 +116,29 @@
 		failures++
 		m.report(false, err)
 		pause := min(firstPause<<min(failures-1, 8), maxPause)
-		if !clock.Sleep(ctx, pause) {
+		if !m.pause(ctx, pause) {
 			return
 		}
 	}
 }
 
+// pause waits for d and delivers injected changes meanwhile. It returns false
+// if ctx ended.
+func (m *Mirror) pause(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	for {
+		select {
+		case <-timer.C:
+			return true
+		case changes := <-m.news:
+			m.config.Apply(m.fresh(changes), m.Revision())
+		case <-ctx.Done():
+			return false
+		}
+	}
+}
+
 // report logs and passes on when the service is lost or regained.
 func (m *Mirror) report(up bool, cause error) {
 	if m.started && up == m.up {
@@ -127,18 +166,14 @@
 	var changes []Change
 	for _, entry := range result.Entries {
 		seen[entry.Key] = true
-		if entry.ModRevision > m.known[entry.Key] {
-			m.known[entry.Key] = entry.ModRevision
-			changes = append(changes, Change{Entry: entry})
-		}
+		changes = append(changes, Change{Entry: entry})
 	}
-	for key := range m.known {
-		if !seen[key] && strings.HasPrefix(key, m.config.Prefix) {
-			delete(m.known, key)
-			changes = append(changes, Change{Entry: infra.Entry{Key: key, ModRevision: result.Revision}, Deleted: true})
+	for key, known := range m.known {
+		if !seen[key] && !known.deleted && known.revision <= result.Revision {
+			changes = append(changes, Change{Entry: infra.Entry{Key: key, ModRevision: result.Revision + 1}, Deleted: true})
 		}
 	}
-	m.deliver(changes, result.Revision)
+	m.deliver(m.fresh(changes), result.Revision)
 	return nil
 }
 
@@ -150,32 +185,44 @@
 	if err != nil {
 		return err
 	}
-	for batch := range batches {
-		if batch.Err != nil {
-			return batch.Err
+	for {
+		select {
+		case batch, open := <-batches:
+			if !open {
+				return ctx.Err()
+			}
+			if batch.Err != nil {
+				return batch.Err
+			}
+			m.deliver(m.fresh(changesOf(batch)), batch.Revision)
+		case changes := <-m.news:
+			m.config.Apply(m.fresh(changes), m.Revision())
 		}
-		m.deliver(m.news(batch), batch.Revision)
 	}
-	return ctx.Err()
 }
 
-// news drops what the copy already reflects: the pages of a read may be newer
-// than the revision that the watch started from.
-func (m *Mirror) news(batch infra.WatchBatch) []Change {
-	var changes []Change
-	for _, event := range batch.Events {
-		entry := event.Entry
-		if entry.ModRevision <= m.known[entry.Key] {
+func changesOf(batch infra.WatchBatch) []Change {
+	changes := make([]Change, len(batch.Events))
+	for i, event := range batch.Events {
+		changes[i] = Change{Entry: event.Entry, Deleted: event.Deleted}
+	}
+	return changes
+}
+
+// fresh drops what the copy already reflects, and notes the rest as known: the
+// pages of a read may be newer than the revision that the watch starts from,
+// and injected changes come again by the watch.
+func (m *Mirror) fresh(changes []Change) []Change {
+	var list []Change
+	for _, change := range changes {
+		entry := change.Entry
+		if !strings.HasPrefix(entry.Key, m.config.Prefix) || entry.ModRevision <= m.known[entry.Key].revision {
 			continue
 		}
-		if event.Deleted {
-			delete(m.known, entry.Key)
-		} else {
-			m.known[entry.Key] = entry.ModRevision
-		}
-		changes = append(changes, Change{Entry: entry, Deleted: event.Deleted})
+		m.known[entry.Key] = knownKey{revision: entry.ModRevision, deleted: change.Deleted}
+		list = append(list, change)
 	}
-	return changes
+	return list
 }
 
 func (m *Mirror) deliver(changes []Change, revision int64) {
@@ -183,5 +230,10 @@
 	if revision > m.revision.Load() {
 		m.revision.Store(revision)
 	}
+	for key, known := range m.known {
+		if known.deleted && known.revision <= revision {
+			delete(m.known, key)
+		}
+	}
 	m.config.Apply(changes, m.revision.Load())
 }
