residency, steer: evict sooner, wait for a place, stay at an adapter's home

Requests ask for each turn, so an adapter may be evicted 400 ms after its last use; a place becomes free about each 120 ms, so requests wait 700 ms for one; a home is left for a queue of eight.

--- a/internal/locator/wait.go
+++ b/internal/locator/wait.go
@@ -52,6 +52,11 @@
 	Over
 )
 
+// String returns the name of the answer.
+func (t Turn) String() string {
+	return [...]string{"begin", "declined", "unowned", "over"}[t]
+}
+
 // wait is a request that waits for its turn.
 type wait struct {
 	// news receives how the request stands; it has room for the final one.
--- a/internal/relay/model.go
+++ b/internal/relay/model.go
@@ -96,6 +96,8 @@
 	waited := time.Since(started)
 	e.waited += waited
 	e.relay.config.Metrics.LoadWait(e.route.Name, waited)
+	e.relay.log.Info("waited for a turn", "id", e.call.ID, "engine", choice.Engine, "adapter", e.call.Adapter.String(),
+		"version", engines.Needed(e.call.Adapter), "load", choice.Load, "spread", choice.Spread, "turn", turn.String(), "took_ms", waited.Milliseconds())
 	switch turn {
 	case locator.Begin:
 		return ticket, true
--- a/internal/residency/engine.go
+++ b/internal/residency/engine.go
@@ -13,7 +13,11 @@
 	// minIdle is how long an adapter must have been unused to be evicted, so
 	// that entries which still believe it is held do not send in vain. It
 	// covers two rounds of the entries' notices.
-	minIdle = 900 * time.Millisecond
+	minIdle = 400 * time.Millisecond
+	// stuckAfter is how long an adapter waits for a place before its requests
+	// are sent elsewhere. Requests run for some seconds, so that one of 17
+	// places becomes free about each tenth of one.
+	stuckAfter = 700 * time.Millisecond
 	// usageHalfLife ages the count of uses; demand moves within some seconds.
 	usageHalfLife = 8 * time.Second
 	// staleReport is how long a report may lag behind an accepted order. One
--- a/internal/residency/next.go
+++ b/internal/residency/next.go
@@ -190,7 +190,7 @@
 	}
 	victim, ok := e.victim(now)
 	if !ok {
-		w.stuck = true
+		w.stuck = now-w.since > stuckAfter
 		return nil
 	}
 	return &Order{Kind: UnloadAdapter, Adapter: victim}
--- a/internal/steer/engine.go
+++ b/internal/steer/engine.go
@@ -19,12 +19,12 @@
 	spreadGain = 2
 	// longLoads is the number of adapters that wait for a load at an engine at
 	// which a cold adapter goes to the next engine: about a second of loads.
-	longLoads = 4
+	longLoads = 8
 	// ranks bounds how far from its home an adapter is loaded.
 	ranks = 4
 	// busyQueue is how many more requests than at the next engine must wait at
 	// a home for a cold adapter to be loaded at the next one.
-	busyQueue = 4
+	busyQueue = 8
 	// runningPerQueued weighs running requests against waiting ones: they
 	// share the steps, but only prompts stretch these.
 	runningPerQueued = 16
