fleet: daemons in touch with the store vouch for those that it turns away

Notices now carry the sender's clock; a daemon that has read the store after a notice came tells its sender which engines are still its own, and that counts for 1.5 s. A daemon that says that it gives orders keeps its engines.

--- a/internal/fleet/keeper.go
+++ b/internal/fleet/keeper.go
@@ -22,6 +22,8 @@
 	// Unreachable reports whether every other member has just said that it
 	// can't reach the key-value service either, so that none can make a claim.
 	Unreachable func() bool
+	// Ordering reports whether a member has just said that it gives orders.
+	Ordering func(member string) bool
 	// Changed is called after the table changed, without a lock held.
 	Changed func()
 }
@@ -42,6 +44,9 @@
 	// contact is when the last successful renewal was sent.
 	contact time.Duration
 	renewed bool
+	// vouched maps engines to the sending of the last notice of which another
+	// daemon said that the engine was this one's afterwards.
+	vouched map[string]time.Duration
 }
 
 // NewKeeper returns a Keeper that is not running.
@@ -55,6 +60,9 @@
 	if config.Unreachable == nil {
 		config.Unreachable = func() bool { return false }
 	}
+	if config.Ordering == nil {
+		config.Ordering = func(string) bool { return false }
+	}
 	if config.Changed == nil {
 		config.Changed = func() {}
 	}
@@ -63,6 +71,8 @@
 		log:    config.Log.With("part", "fleet"),
 		wake:   make(chan struct{}, 1),
 		table:  NewTable(config.Prefix, config.Self, config.Timing),
+
+		vouched: make(map[string]time.Duration),
 	}, nil
 }
 
@@ -133,12 +143,22 @@
 	return k.table.Members()
 }
 
-// Member returns a member by its VM.
+// Former returns the last announcements of members without a key.
+func (k *Keeper) Former() []Member {
+	k.mu.RLock()
+	defer k.mu.RUnlock()
+	return k.table.Former()
+}
+
+// Member returns a member by its VM, also one that has lost its key.
 func (k *Keeper) Member(name string) (Member, bool) {
 	k.mu.RLock()
 	defer k.mu.RUnlock()
-	m, ok := k.table.members[name]
-	return m.Member, ok
+	if m, ok := k.table.members[name]; ok {
+		return m.Member, true
+	}
+	m, ok := k.table.former[name]
+	return m, ok
 }
 
 // Owner returns the member that orders an engine.
@@ -163,17 +183,45 @@
 	token, ok := k.table.MayOrder(now, id)
 	fresh := k.renewed && now-k.contact < validFor && k.announced != 0 && k.table.Revision() >= k.announced
 	everHeld := k.renewed
+	vouched, known := k.vouched[id]
 	k.mu.RUnlock()
 	if !ok {
 		return 0, false
 	}
-	if fresh {
+	if fresh || known && now-vouched < vouchedFor {
 		return token, true
 	}
 	// During an outage that all members see, nobody can claim the engine.
 	return token, everHeld && k.config.Unreachable()
 }
 
+// OwnedBy lists the engines that a process of a member orders.
+func (k *Keeper) OwnedBy(member string, boot int64) []string {
+	k.mu.RLock()
+	defer k.mu.RUnlock()
+	return k.table.OwnedBy(member, boot)
+}
+
+// Vouched takes over that engines were still this daemon's after a notice that
+// it sent at a reading of clock.Boot.
+func (k *Keeper) Vouched(engines []string, sent time.Duration) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for _, id := range engines {
+		k.vouched[id] = max(k.vouched[id], sent)
+	}
+}
+
+// Orders reports whether this daemon may order any engine at this moment.
+func (k *Keeper) Orders() bool {
+	for _, id := range k.Mine() {
+		if _, ok := k.MayOrder(id); ok {
+			return true
+		}
+	}
+	return false
+}
+
 // Run holds the lease and makes claims until ctx ends.
 func (k *Keeper) Run(ctx context.Context) {
 	var running sync.WaitGroup
@@ -280,7 +328,7 @@
 	if k.announced == 0 || k.table.Revision() < k.announced {
 		return nil
 	}
-	return k.table.Claims(clock.Boot())
+	return k.table.Claims(clock.Boot(), k.config.Ordering)
 }
 
 func (k *Keeper) send(ctx context.Context, claim Claim) {
--- a/internal/fleet/table.go
+++ b/internal/fleet/table.go
@@ -43,8 +43,10 @@
 	self    Member
 	timing  Timing
 	members map[string]seenMember
-	// lost maps absent members to when they were first found absent.
+	// lost maps absent members to when they were first found absent, and
+	// former to what they had announced.
 	lost    map[string]time.Duration
+	former  map[string]Member
 	engines map[string]*engine
 	// revision is that up to which the table is complete, and began when it
 	// was first.
@@ -60,6 +62,7 @@
 		timing:  timing,
 		members: make(map[string]seenMember),
 		lost:    make(map[string]time.Duration),
+		former:  make(map[string]Member),
 		engines: make(map[string]*engine),
 	}
 }
@@ -93,6 +96,9 @@
 func (t *Table) applyMember(now time.Duration, name string, change mirror.Change) {
 	var member Member
 	if change.Deleted || json.Unmarshal(change.Entry.Value, &member) != nil || member.Name != name {
+		if before, ok := t.members[name]; ok {
+			t.former[name] = before.Member
+		}
 		delete(t.members, name)
 		t.lost[name] = now
 		return
@@ -103,6 +109,7 @@
 	}
 	t.members[name] = seen
 	delete(t.lost, name)
+	delete(t.former, name)
 }
 
 func (t *Table) applyRecord(now time.Duration, id string, change mirror.Change) {
@@ -175,7 +182,18 @@
 	return list
 }
 
-// Owner returns the member that orders an engine, if it is known and present.
+// Former returns the last announcements of members without a key. They may
+// have ended, or be cut off from the key-value service only.
+func (t *Table) Former() []Member {
+	list := make([]Member, 0, len(t.former))
+	for _, m := range t.former {
+		list = append(list, m)
+	}
+	return list
+}
+
+// Owner returns the member that orders an engine, if it is known. It may have
+// lost its key.
 func (t *Table) Owner(id string) (Member, bool) {
 	e := t.engines[id]
 	if e == nil {
@@ -184,8 +202,11 @@
 	if t.mine(e) {
 		return t.self, true
 	}
-	m, ok := t.members[e.Member]
-	return m.Member, ok
+	if m, ok := t.members[e.Member]; ok {
+		return m.Member, true
+	}
+	m, ok := t.former[e.Member]
+	return m, ok
 }
 
 // MayOrder returns the token for orders to an engine if this daemon may send
@@ -198,14 +219,20 @@
 	return Token(e.revision), true
 }
 
-// Mine lists the engines whose records name this process.
-func (t *Table) Mine() []string {
+// OwnedBy lists the engines whose records name a process of a member.
+func (t *Table) OwnedBy(member string, boot int64) []string {
 	var ids []string
 	for id, e := range t.engines {
-		if t.mine(e) {
+		if e.Member == member && e.Boot == boot {
 			ids = append(ids, id)
 		}
 	}
+	return ids
+}
+
+// Mine lists the engines whose records name this process.
+func (t *Table) Mine() []string {
+	ids := t.OwnedBy(t.self.Name, t.self.Boot)
 	slices.Sort(ids)
 	return ids
 }
@@ -217,14 +244,16 @@
 }
 
 // Claims returns the claims that are due at now, in transactions of a bounded
-// size, and the deletion of records of engines that are gone.
-func (t *Table) Claims(now time.Duration) []Claim {
+// size, and the deletion of records of engines that are gone. Ordering reports
+// whether a member without a key is known to give orders still; its engines
+// are left to it.
+func (t *Table) Claims(now time.Duration, ordering func(member string) bool) []Claim {
 	if t.self.Draining || t.revision == 0 {
 		return nil
 	}
 	var due []string
 	for id, e := range t.engines {
-		if t.claimDue(now, id, e) {
+		if t.claimDue(now, id, e, ordering) {
 			due = append(due, id)
 		}
 	}
@@ -236,7 +265,7 @@
 	return claims
 }
 
-func (t *Table) claimDue(now time.Duration, id string, e *engine) bool {
+func (t *Table) claimDue(now time.Duration, id string, e *engine, ordering func(string) bool) bool {
 	if e.pending || e.tried && now-e.claimed < retryClaim {
 		return false
 	}
@@ -250,7 +279,7 @@
 	if e.Member == t.self.Name {
 		return true
 	}
-	if now-t.began < settleDelay {
+	if now-t.began < startDelay {
 		// The members that start at the same time are not all known yet.
 		return false
 	}
@@ -268,7 +297,7 @@
 		t.lost[e.Member] = now
 		return false
 	}
-	return now-since >= settleDelay+wait
+	return now-since >= settleDelay+wait && !ordering(e.Member)
 }
 
 // rank returns how many members stand before this daemon for an engine.
--- a/internal/fleet/types.go
+++ b/internal/fleet/types.go
@@ -46,31 +46,36 @@
 	Quiet time.Duration
 }
 
-// DefaultLeaseTTL outlasts a restart and a power cut of some seconds, after
-// which the same daemon goes on. It bounds how long a lost daemon is listed.
-const DefaultLeaseTTL = 5 * time.Second
+// DefaultLeaseTTL bounds how long a lost daemon is listed. Shorter freezes and
+// restarts leave its engines with it.
+const DefaultLeaseTTL = 3 * time.Second
 
 // Time constants of a fleet.
 const (
 	// settleDelay is how long a member key must have been absent before its
 	// engines are claimed: a daemon whose lease lapsed with the service is
-	// back within a second.
-	settleDelay = 1500 * time.Millisecond
+	// back soon. One that still gives orders is left alone anyway.
+	settleDelay = 700 * time.Millisecond
+	// startDelay is kept after the first read before engines of others are
+	// claimed: daemons that start together are not all known at first.
+	startDelay = 1500 * time.Millisecond
 	// rankStep is kept between the claims of daemons of consecutive rank.
 	rankStep = 400 * time.Millisecond
-	// lostSlack is added to the quiet time after a daemon that did not announce
-	// its end: it may have gone on for validFor since its last contact.
-	lostSlack = 1500 * time.Millisecond
 	// validFor is how long after the sending of its last successful renewal a
 	// daemon gives orders. The service may drop keys at the moment at which it
-	// stops answering, so this does not rest on the lease's time to live: it
-	// stays below settleDelay + lostSlack, after which a successor's quiet time
-	// has begun to count.
-	validFor = 2500 * time.Millisecond
-	// renewEvery is the time between two renewals.
-	renewEvery = time.Second
+	// stops answering, so this does not rest on the lease's time to live.
+	validFor = 1800 * time.Millisecond
+	// vouchedFor is how long a daemon gives orders after the sending of a
+	// notice of which another one, in touch with the service, said that the
+	// engine was still this daemon's afterwards.
+	vouchedFor = 1500 * time.Millisecond
+	// lostSlack is added to the quiet time after a daemon that did not announce
+	// its end: it learns of the claim at the latest after vouchedFor.
+	lostSlack = vouchedFor + 200*time.Millisecond
+	// renewEvery is the time between two renewals: two may be lost within validFor.
+	renewEvery = 600 * time.Millisecond
 	// renewRetry is the pause after a failed renewal.
-	renewRetry = 300 * time.Millisecond
+	renewRetry = 200 * time.Millisecond
 	// claimEvery is how often the table is asked for due claims.
 	claimEvery = 200 * time.Millisecond
 	// maxPlaces bounds the ranks that wait for one another.
--- a/internal/gateway/directory.go
+++ b/internal/gateway/directory.go
@@ -21,7 +21,7 @@
 func (g *Gateway) Entries(_, _ string) ([]string, float64) {
 	now := clock.Boot()
 	self := g.settings.Load().VM
-	members := g.keeper.Members()
+	members := g.members()
 	silence := max(peerSilence, 3*noticePeriod(len(members)))
 	var alive, listed []string
 	for _, m := range members {
--- a/internal/gateway/drain.go
+++ b/internal/gateway/drain.go
@@ -36,7 +36,7 @@
 		defer close(farewell)
 		g.announceEnd()
 	}()
-	g.sendNotices(g.keeper.Members())
+	g.sendNotices(g.members())
 	clock.Sleep(context.Background(), min(acceptFor, grace/2))
 	g.relay.RefuseNew()
 	servers.list[0].http.SetKeepAlivesEnabled(false)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -133,6 +133,7 @@
 		Timing:      fleet.Timing{LeaseTTL: max(fleet.DefaultLeaseTTL, s.LeastLease), Quiet: s.Quiet},
 		Log:         log,
 		Unreachable: g.storeUnreachable,
+		Ordering:    g.ordering,
 		Changed:     g.signalReassign,
 	}); err != nil {
 		return err
--- a/internal/gateway/notices.go
+++ b/internal/gateway/notices.go
@@ -32,8 +32,13 @@
 // peer is what is known of another daemon by its datagrams.
 type peer struct {
 	heard     time.Duration
+	boot      int64
 	storeDown bool
 	draining  bool
+	// orders tells that it gives orders to engines.
+	orders bool
+	// stamp is its clock at its last notice.
+	stamp int64
 }
 
 // peers holds what is known by datagrams. It is safe for concurrent use.
@@ -59,6 +64,19 @@
 	return state, ok
 }
 
+// members returns the daemons of the fleet: those with a member key, and those
+// that have lost it but are still heard.
+func (g *Gateway) members() []fleet.Member {
+	members := g.keeper.Members()
+	now := clock.Boot()
+	for _, m := range g.keeper.Former() {
+		if p, ok := g.peers.get(m.Name); ok && p.boot == m.Boot && !p.draining && now-p.heard < peerSilence {
+			members = append(members, m)
+		}
+	}
+	return members
+}
+
 // noticePeriod returns the time between two notices in a fleet of n daemons.
 func noticePeriod(n int) time.Duration {
 	return noticeEvery * time.Duration(max(n, noticePeers)) / noticePeers
@@ -66,7 +84,7 @@
 
 func (g *Gateway) runNotices(ctx context.Context) {
 	for {
-		members := g.keeper.Members()
+		members := g.members()
 		if !clock.Sleep(ctx, noticePeriod(len(members))) {
 			return
 		}
@@ -97,24 +115,47 @@
 		g.locator.TakeState(state)
 		messages = append(messages, stateMessage(state))
 	}
+	orders := g.keeper.Orders()
 	for _, m := range members {
 		if m.Name == self.Name {
 			continue
 		}
-		g.mesh.Send(m.Mesh, mesh.Packet{Notice: &mesh.Notice{
+		notice := &mesh.Notice{
 			StoreDown: g.storeDown.Load(),
 			Draining:  g.draining.Load(),
+			Stamp:     int64(clock.Boot()),
+			Orders:    orders,
 			Uses:      uses[m.Name],
 			States:    messages,
-		}})
+		}
+		g.vouch(m.Name, notice)
+		g.mesh.Send(m.Mesh, mesh.Packet{Notice: notice})
+	}
+}
+
+// vouch adds to a notice which engines the receiver owns, if this daemon has
+// read the key-value service since the receiver's last notice came. With that
+// a daemon that the service turns away can go on giving orders.
+func (g *Gateway) vouch(member string, notice *mesh.Notice) {
+	p, ok := g.peers.get(member)
+	if !ok || g.storeDown.Load() || g.mirror.AsOf() < p.heard {
+		return
 	}
+	notice.Vouched = g.keeper.OwnedBy(member, p.boot)
+	notice.Echo = p.stamp
+}
+
+// ordering reports whether a member has just said that it gives orders.
+func (g *Gateway) ordering(member string) bool {
+	p, ok := g.peers.get(member)
+	return ok && p.orders && !p.draining && clock.Boot()-p.heard < outageFresh
 }
 
 // receive takes over a datagram.
 func (g *Gateway) receive(packet mesh.Packet) {
 	switch {
 	case packet.Notice != nil:
-		g.receiveNotice(packet.From, packet.Notice)
+		g.receiveNotice(packet.From, packet.Boot, packet.Notice)
 	case packet.Ask != nil:
 		g.answerAsk(packet.From, packet.Ask.Engine, askOf(packet.Ask))
 	case packet.News != nil:
@@ -127,8 +168,13 @@
 	}
 }
 
-func (g *Gateway) receiveNotice(from string, notice *mesh.Notice) {
-	g.peers.set(from, peer{heard: clock.Boot(), storeDown: notice.StoreDown, draining: notice.Draining})
+func (g *Gateway) receiveNotice(from string, boot int64, notice *mesh.Notice) {
+	g.peers.set(from, peer{
+		heard: clock.Boot(), boot: boot, storeDown: notice.StoreDown, draining: notice.Draining, orders: notice.Orders, stamp: notice.Stamp,
+	})
+	if len(notice.Vouched) > 0 {
+		g.keeper.Vouched(notice.Vouched, time.Duration(notice.Echo))
+	}
 	for _, use := range notice.Uses {
 		g.orders.Use(from, use.Engine, use.Running, usesOf(use))
 	}
--- a/internal/gateway/watchers.go
+++ b/internal/gateway/watchers.go
@@ -35,8 +35,9 @@
 		return false
 	}
 	candidates := []placement.Candidate{{Engine: self.Name}}
-	for _, m := range g.keeper.Members() {
-		if !m.Draining && m.Name != self.Name {
+	for _, m := range g.members() {
+		p, heard := g.peers.get(m.Name)
+		if !m.Draining && m.Name != self.Name && !(heard && p.storeDown) {
 			candidates = append(candidates, placement.Candidate{Engine: m.Name})
 		}
 	}
@@ -85,7 +86,7 @@
 		return
 	}
 	self := g.keeper.Self()
-	for _, m := range g.keeper.Members() {
+	for _, m := range g.members() {
 		if m.Name == self.Name {
 			continue
 		}
--- a/internal/mesh/packet.go
+++ b/internal/mesh/packet.go
@@ -23,6 +23,14 @@
 	StoreDown bool `cbor:"1,keyasint,omitempty"`
 	// Draining tells that the sender is about to end.
 	Draining bool `cbor:"2,keyasint,omitempty"`
+	// Stamp is the sender's clock when it sent the notice.
+	Stamp int64 `cbor:"5,keyasint,omitempty"`
+	// Orders tells that the sender gives orders to engines.
+	Orders bool `cbor:"6,keyasint,omitempty"`
+	// Vouched lists engines that the receiver owned in the key-value service
+	// after its notice with the stamp Echo had reached the sender.
+	Vouched []string `cbor:"7,keyasint,omitempty"`
+	Echo    int64    `cbor:"8,keyasint,omitempty"`
 	// Uses is the sender's use of engines that the receiver orders.
 	Uses []EngineUse `cbor:"3,keyasint,omitempty"`
 	// States is the state of engines that the sender orders.
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -48,8 +48,10 @@
 	// news are changes that came by another way than the watch.
 	news     chan []Change
 	revision atomic.Int64
-	up       bool
-	started  bool
+	// asked is when the service was asked for the state of the copy.
+	asked   atomic.Int64
+	up      bool
+	started bool
 }
 
 // knownKey is the last change of a key that was delivered.
@@ -76,6 +78,12 @@
 	return m.revision.Load()
 }
 
+// AsOf returns the reading of clock.Boot from which on the copy reflects all
+// changes; 0 if unknown.
+func (m *Mirror) AsOf() time.Duration {
+	return time.Duration(m.asked.Load())
+}
+
 // Inject takes over changes that another daemon has seen already. What the copy
 // reflects is ignored; the watch brings the same changes later. Changes are
 // dropped if Run is far behind.
@@ -195,6 +203,7 @@
 				return batch.Err
 			}
 			m.deliver(m.fresh(changesOf(batch)), batch.Revision)
+			m.asked.Store(int64(batch.Asked))
 		case changes := <-m.news:
 			m.config.Apply(m.fresh(changes), m.Revision())
 		}
--- a/internal/orders/pool.go
+++ b/internal/orders/pool.go
@@ -182,5 +182,6 @@
 }
 
 // callTimeout bounds a report or an order. Engines answer within some
-// milliseconds; one that has not may carry an order out later.
-const callTimeout = 400 * time.Millisecond
+// milliseconds. An order without an answer is void once a later one with the
+// same precondition is accepted, so little is lost by asking again soon.
+const callTimeout = 150 * time.Millisecond
--- a/internal/orders/worker.go
+++ b/internal/orders/worker.go
@@ -248,11 +248,12 @@
 		w.engine.Forget()
 		w.token = token
 	}
+	allowed = allowed && !w.upstream.Leaving
 	if allowed != w.allowed {
-		w.log.Info("right to order changed", "allowed", allowed, "token", int64(token))
+		w.log.Info("right to order changed", "allowed", allowed, "leaving", w.upstream.Leaving, "token", int64(token))
 	}
-	w.allowed = allowed && !w.upstream.Leaving
-	return w.allowed
+	w.allowed = allowed
+	return allowed
 }
 
 func (w *worker) upstreamID() string {
--- a/internal/residency/engine.go
+++ b/internal/residency/engine.go
@@ -35,7 +35,7 @@
 	// conflictPause follows a refused order.
 	conflictPause = 40 * time.Millisecond
 	// unansweredPause follows an order or report without an answer.
-	unansweredPause = 100 * time.Millisecond
+	unansweredPause = 20 * time.Millisecond
 	// recentLimit bounds the memory of adapters that the engine held lately.
 	recentLimit = 96
 	// reloadShare is the time to load an adapter that the engine held lately,
