fleet, orders: orders go on while the end cannot be announced; a refused request puts its adapter in doubt

A daemon now stops its orders only for an announcement that may take effect, and a refusal makes the owner ask for the engine's report.

--- a/internal/admission/gate.go
+++ b/internal/admission/gate.go
@@ -71,9 +71,11 @@
 
 // turn is a request that has begun and whose prompt is being read.
 type turn struct {
-	tokens int
-	began  time.Duration
-	alone  bool
+	adapter topology.Adapter
+	tokens  int
+	began   time.Duration
+	// alone tells that no other prompt is read at the same time.
+	alone bool
 }
 
 // Gate hands out the turns at one engine. It is not safe for concurrent use.
@@ -113,6 +115,12 @@
 	return begun
 }
 
+// Adapter returns the adapter of a request that has its turn.
+func (g *Gate) Adapter(key Key) (topology.Adapter, bool) {
+	t, ok := g.turns[key]
+	return t.adapter, ok
+}
+
 // Begun ends a request's turn: its first event has come, or it has ended.
 func (g *Gate) Begun(now time.Duration, key Key) {
 	t, ok := g.turns[key]
@@ -276,7 +284,7 @@
 		t.alone = false
 		g.turns[key] = t
 	}
-	g.turns[r.Key] = turn{tokens: r.Tokens, began: now, alone: len(g.turns) == 0}
+	g.turns[r.Key] = turn{adapter: r.Adapter, tokens: r.Tokens, began: now, alone: len(g.turns) == 0}
 	g.granted++
 }
 
--- a/internal/fleet/keeper.go
+++ b/internal/fleet/keeper.go
@@ -347,12 +347,35 @@
 }
 
 // Drain stops all orders of this daemon and then announces its end, so that
-// others claim its engines.
+// others claim its engines. While the service certainly does not take the
+// announcement, nobody can claim them, and the orders go on. It returns when
+// the end is announced, or with the last error when ctx ends.
 func (k *Keeper) Drain(ctx context.Context) error {
+	for {
+		k.setDraining(true)
+		err := k.announceEnd(ctx)
+		var failure *infra.Error
+		if err == nil || !errors.As(err, &failure) || failure.Kind != infra.Unavailable {
+			return err
+		}
+		k.setDraining(false)
+		if !clock.Sleep(ctx, renewRetry) {
+			return err
+		}
+	}
+}
+
+func (k *Keeper) setDraining(draining bool) {
 	k.mu.Lock()
-	k.table.self.Draining = true
+	defer k.mu.Unlock()
+	k.table.self.Draining = draining
+	k.table.stopped = draining
+}
+
+func (k *Keeper) announceEnd(ctx context.Context) error {
+	k.mu.RLock()
 	lease := k.lease
-	k.mu.Unlock()
+	k.mu.RUnlock()
 	if lease == 0 {
 		return nil
 	}
--- a/internal/gateway/drain.go
+++ b/internal/gateway/drain.go
@@ -31,11 +31,7 @@
 	g.draining.Store(true)
 	g.relay.Drain()
 	g.log.Info("daemon draining", "in_flight", g.relay.InFlight(), "grace_ms", grace.Milliseconds())
-	farewell := make(chan struct{})
-	go func() {
-		defer close(farewell)
-		g.announceEnd()
-	}()
+	go g.announceEnd(end)
 	g.sendNotices(g.members())
 	clock.Sleep(context.Background(), min(acceptFor, grace/2))
 	g.relay.RefuseNew()
@@ -48,7 +44,6 @@
 	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
 	servers.shutdown(ctx)
-	<-farewell
 	leave, cancelLeave := context.WithTimeout(context.Background(), storeFarewell)
 	defer cancelLeave()
 	if err := g.keeper.Leave(leave); err != nil {
@@ -57,8 +52,8 @@
 }
 
 // announceEnd gives up the engines of this daemon, after its last order.
-func (g *Gateway) announceEnd() {
-	ctx, cancel := context.WithTimeout(context.Background(), storeFarewell)
+func (g *Gateway) announceEnd(end time.Time) {
+	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
 	if err := g.keeper.Drain(ctx); err != nil {
 		g.log.Warn("end not announced in the key-value service", "error", err)
--- a/internal/gateway/notices.go
+++ b/internal/gateway/notices.go
@@ -164,7 +164,7 @@
 	case packet.Change != nil:
 		g.mirror.Inject([]mirror.Change{changeOf(packet.Change)})
 	case packet.Begun != nil:
-		g.orders.Begun(packet.Begun.Engine, admission.Key{Entry: packet.From, Ticket: packet.Begun.Ticket})
+		g.orders.Begun(packet.Begun.Engine, admission.Key{Entry: packet.From, Ticket: packet.Begun.Ticket}, packet.Begun.Refused)
 	}
 }
 
@@ -219,17 +219,17 @@
 }
 
 // begun tells the owner of an engine that a turn is over.
-func (g *Gateway) begun(engine string, ticket uint64) {
+func (g *Gateway) begun(engine string, ticket uint64, refused bool) {
 	owner, ok := g.keeper.Owner(engine)
 	if !ok {
 		return
 	}
 	self := g.keeper.Self()
 	if owner.Name == self.Name {
-		g.orders.Begun(engine, admission.Key{Entry: self.Name, Ticket: ticket})
+		g.orders.Begun(engine, admission.Key{Entry: self.Name, Ticket: ticket}, refused)
 		return
 	}
-	g.mesh.Send(owner.Mesh, mesh.Packet{Begun: &mesh.Begun{Engine: engine, Ticket: ticket}})
+	g.mesh.Send(owner.Mesh, mesh.Packet{Begun: &mesh.Begun{Engine: engine, Ticket: ticket, Refused: refused}})
 }
 
 // tell passes news about a request on to its entry.
--- a/internal/locator/locator.go
+++ b/internal/locator/locator.go
@@ -24,8 +24,9 @@
 	// for the adapter only. It returns false if no owner is known. The answer
 	// comes by Told, perhaps within the call.
 	Ask func(engine string, ask Ask) bool
-	// Begun tells the owner of an engine that a turn is over.
-	Begun func(engine string, ticket uint64)
+	// Begun tells the owner of an engine that a turn is over, and whether the
+	// engine refused the request.
+	Begun func(engine string, ticket uint64, refused bool)
 	Log   *slog.Logger
 }
 
--- a/internal/locator/wait.go
+++ b/internal/locator/wait.go
@@ -184,7 +184,7 @@
 	unused := !l.active[key] && granted(w)
 	l.mu.Unlock()
 	if unused {
-		l.config.Begun(engine, ticket)
+		l.config.Begun(engine, ticket, false)
 	}
 }
 
@@ -202,12 +202,13 @@
 	}
 }
 
-// Begun tells the owner of an engine that a request's turn is over.
-func (l *Locator) Begun(engine string, ticket uint64) {
+// Begun tells the owner of an engine that a request's turn is over. Refused
+// tells that the engine does not hold what it was expected to.
+func (l *Locator) Begun(engine string, ticket uint64, refused bool) {
 	l.mu.Lock()
 	delete(l.active, waitKey{engine, ticket})
 	l.mu.Unlock()
-	l.config.Begun(engine, ticket)
+	l.config.Begun(engine, ticket, refused)
 }
 
 // Request asks for an adapter at an engine for later requests.
@@ -232,6 +233,6 @@
 	l.mu.Unlock()
 	if unused {
 		// The caller may hold the lock of the engine's worker.
-		go l.config.Begun(news.Engine, news.Ticket)
+		go l.config.Begun(news.Engine, news.Ticket, false)
 	}
 }
--- a/internal/mesh/packet.go
+++ b/internal/mesh/packet.go
@@ -98,6 +98,9 @@
 type Begun struct {
 	Engine string `cbor:"1,keyasint"`
 	Ticket uint64 `cbor:"2,keyasint"`
+	// Refused tells that the engine refused the request, because it does not
+	// hold what its owner believes.
+	Refused bool `cbor:"3,keyasint,omitempty"`
 }
 
 // Change is a change of the key-value service that the sender has seen.
--- a/internal/orders/pool.go
+++ b/internal/orders/pool.go
@@ -149,10 +149,11 @@
 	}
 }
 
-// Begun takes over that a request's turn at an engine is over.
-func (p *Pool) Begun(engine string, key admission.Key) {
+// Begun takes over that a request's turn at an engine is over. Refused tells
+// that the engine does not hold what it was expected to.
+func (p *Pool) Begun(engine string, key admission.Key, refused bool) {
 	if w := p.worker(engine); w != nil {
-		w.begun(clock.Boot(), key)
+		w.begun(clock.Boot(), key, refused)
 	}
 }
 
--- a/internal/orders/worker.go
+++ b/internal/orders/worker.go
@@ -114,9 +114,13 @@
 	w.signal()
 }
 
-func (w *worker) begun(now time.Duration, key admission.Key) {
+func (w *worker) begun(now time.Duration, key admission.Key, refused bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	if adapter, ok := w.gate.Adapter(key); ok && refused {
+		w.log.Info("engine refused a request that had its turn, asking for its report", "adapter", adapter.String())
+		w.engine.Doubt(now, adapter)
+	}
 	w.gate.Begun(now, key)
 	w.decide(now, admission.Key{})
 	w.signal()
@@ -128,7 +132,7 @@
 	if w.upstream.Leaving {
 		return residency.Elsewhere
 	}
-	if _, known := w.engine.Known(); !known {
+	if _, known := w.engine.Known(); !known && !w.allowed {
 		if held, ok := w.upstream.VersionOf(adapter); ok && held >= version || adapter.Name == "" && w.upstream.Holds(adapter.Model) {
 			return residency.Ready
 		}
--- a/internal/relay/model.go
+++ b/internal/relay/model.go
@@ -116,7 +116,7 @@
 func (e *exchange) tryEngine(id string, ticket uint64) bool {
 	engines := e.relay.config.Locator
 	e.begin(id, ticket)
-	defer e.begun()
+	defer e.begun(false)
 	upstream, ok := engines.Upstream(id)
 	if !ok {
 		e.tried = append(e.tried, id)
@@ -147,10 +147,10 @@
 	e.turnTicket = ticket
 }
 
-// begun tells the owner of the engine that the turn is over.
-func (e *exchange) begun() {
+// begun tells the owner of the engine that the turn is over, once.
+func (e *exchange) begun(refused bool) {
 	if e.turnTicket != 0 {
-		e.relay.config.Locator.Begun(e.turnEngine, e.turnTicket)
+		e.relay.config.Locator.Begun(e.turnEngine, e.turnTicket, refused)
 		e.turnTicket = 0
 	}
 }
@@ -195,6 +195,7 @@
 	e.relay.log.Info("engine refused a request", "id", e.call.ID, "upstream", upstream.ID, "status", result.response.StatusCode,
 		"adapter", e.call.Adapter.String())
 	if result.head.Misdirected {
+		e.begun(true)
 		e.relay.config.Locator.NotHeld(upstream.ID, e.call.Adapter)
 		if result.head.Upstream != "" && result.head.Upstream != upstream.ID {
 			e.relay.config.Locator.Failed(upstream.ID)
@@ -275,7 +276,7 @@
 		if !e.follows(event.id) {
 			return e.streamEnded(upstream, result, nil, errOrder)
 		}
-		e.begun()
+		e.begun(false)
 		e.sendHead(result)
 		if _, err := e.w.Write(event.raw); err != nil {
 			return e.callerLost(result)
--- a/internal/residency/result.go
+++ b/internal/residency/result.go
@@ -119,6 +119,22 @@
 	}
 }
 
+// Doubt takes over that the engine refused a request for an adapter that
+// should be ready. The adapter keeps its place, but serves no request until a
+// report tells how it stands.
+func (e *Engine) Doubt(now time.Duration, adapter topology.Adapter) {
+	p := e.places[adapter]
+	if p == nil || p.phase != ready {
+		return
+	}
+	p.phase = loading
+	p.target = p.version
+	p.order = e.orders
+	p.since = now
+	p.check = now
+	p.recheck = firstRecheck
+}
+
 // NoReport takes over that the engine did not answer the question for a report.
 func (e *Engine) NoReport(now time.Duration) {
 	e.notUntil = now + unansweredPause
