--- a/internal/fleet/keeper.go
+++ b/internal/fleet/keeper.go
@@ -24,6 +24,8 @@
 	Unreachable func() bool
 	// Ordering reports whether a member has just said that it gives orders.
 	Ordering func(member string) bool
+	// Now reads a clock that counts suspended time; nil for clock.Boot.
+	Now func() time.Duration
 	// Changed is called after the table changed, without a lock held.
 	Changed func()
 }
@@ -63,6 +65,9 @@
 	if config.Ordering == nil {
 		config.Ordering = func(string) bool { return false }
 	}
+	if config.Now == nil {
+		config.Now = clock.Boot
+	}
 	if config.Changed == nil {
 		config.Changed = func() {}
 	}
@@ -80,7 +85,7 @@
 func (k *Keeper) Apply(changes []mirror.Change, revision int64) {
 	k.mu.Lock()
 	before := k.table.Mine()
-	k.table.Apply(clock.Boot(), changes, revision)
+	k.table.Apply(k.config.Now(), changes, revision)
 	after := k.table.Mine()
 	if k.announced != 0 && k.announced <= revision && k.table.members[k.config.Self.Name].Boot != k.config.Self.Boot {
 		// The service dropped the member key, or another process of this VM took it.
@@ -117,7 +122,7 @@
 // SetEngines replaces the set of engines that are to be ordered.
 func (k *Keeper) SetEngines(ids []string) {
 	k.mu.Lock()
-	k.table.SetEngines(clock.Boot(), ids)
+	k.table.SetEngines(k.config.Now(), ids)
 	k.mu.Unlock()
 	k.signal()
 }
@@ -178,7 +183,7 @@
 // MayOrder returns the token for an order to an engine if this daemon may send
 // one at this moment. It is to be asked just before each order.
 func (k *Keeper) MayOrder(id string) (Token, bool) {
-	now := clock.Boot()
+	now := k.config.Now()
 	k.mu.RLock()
 	token, ok := k.table.MayOrder(now, id)
 	fresh := k.renewed && now-k.contact < validFor && k.announced != 0 && k.table.Revision() >= k.announced
@@ -248,7 +253,7 @@
 	k.mu.RLock()
 	lease, announced := k.lease, k.announced
 	k.mu.RUnlock()
-	sent := clock.Boot()
+	sent := k.config.Now()
 	if lease == 0 {
 		granted, err := k.config.KV.Grant(ctx, k.config.Timing.LeaseTTL)
 		if err != nil {
@@ -328,7 +333,7 @@
 	if k.announced == 0 || k.table.Revision() < k.announced {
 		return nil
 	}
-	return k.table.Claims(clock.Boot(), k.config.Ordering)
+	return k.table.Claims(k.config.Now(), k.config.Ordering)
 }
 
 func (k *Keeper) send(ctx context.Context, claim Claim) {
--- /dev/null
+++ b/internal/fleet/table_test.go
@@ -0,0 +1,188 @@
+package fleet
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/barleylift/barleylift/internal/infra"
+	"github.com/barleylift/barleylift/internal/mirror"
+)
+
+var testTiming = Timing{LeaseTTL: DefaultLeaseTTL, Quiet: 3 * time.Second}
+
+func nobody(string) bool { return false }
+
+// script feeds a table with changes of rising revision.
+type script struct {
+	table    *Table
+	revision int64
+}
+
+func newScript(self string, boot int64) *script {
+	return &script{table: NewTable("p/", Member{Name: self, Boot: boot}, testTiming)}
+}
+
+func (s *script) put(at time.Duration, key string, value any) {
+	text, err := json.Marshal(value)
+	if err != nil {
+		panic(err)
+	}
+	s.change(at, mirror.Change{Entry: infra.Entry{Key: "p/" + key, Value: text}})
+}
+
+func (s *script) change(at time.Duration, change mirror.Change) {
+	s.revision++
+	change.Entry.ModRevision = s.revision
+	s.table.Apply(at, []mirror.Change{change}, s.revision)
+}
+
+func (s *script) drop(at time.Duration, key string) {
+	s.change(at, mirror.Change{Entry: infra.Entry{Key: "p/" + key}, Deleted: true})
+}
+
+func (s *script) member(at time.Duration, m Member) {
+	s.put(at, "members/"+m.Name, m)
+}
+
+// firstClaim returns when the table first claims the engine, in steps of 100 ms.
+func (s *script) firstClaim(from, until time.Duration, ordering func(string) bool) (time.Duration, bool) {
+	for at := from; at <= until; at += 100 * time.Millisecond {
+		if len(s.table.Claims(at, ordering)) > 0 {
+			return at, true
+		}
+	}
+	return 0, false
+}
+
+func TestRestartedDaemonGoesOnAtOnce(t *testing.T) {
+	s := newScript("vm-a", 2)
+	s.put(0, "engines/e", record{Member: "vm-a", Boot: 1})
+	s.table.SetEngines(0, []string{"e"})
+	claims := s.table.Claims(0, nobody)
+	if len(claims) != 1 {
+		t.Fatalf("%d claims of the daemon's own engine, want 1 at once", len(claims))
+	}
+	s.put(time.Millisecond, "engines/e", record{Member: "vm-a", Boot: 2})
+	if token, ok := s.table.MayOrder(time.Millisecond, "e"); !ok || token != Token(s.revision) {
+		t.Errorf("token %d, allowed %t; want to go on under the new revision %d", token, ok, s.revision)
+	}
+}
+
+func TestSuccessorWaits(t *testing.T) {
+	const lost = 10 * time.Second
+	tests := []struct {
+		name    string
+		former  Member
+		gone    bool
+		orders  bool
+		claimed bool
+		// quiet is how long after the sight of the claim the first order may come.
+		quiet time.Duration
+	}{
+		{"the former daemon is present", Member{Name: "vm-b", Boot: 1}, false, false, false, 0},
+		{"its key is absent", Member{Name: "vm-b", Boot: 1}, true, false, true, testTiming.Quiet + lostSlack},
+		{"its key is absent, but it says that it gives orders", Member{Name: "vm-b", Boot: 1}, true, true, false, 0},
+		{"it is draining", Member{Name: "vm-b", Boot: 1, Draining: true}, false, false, true, testTiming.Quiet},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			s := newScript("vm-a", 1)
+			s.member(0, Member{Name: "vm-a", Boot: 1})
+			s.member(lost, test.former)
+			s.put(lost, "engines/e", record{Member: "vm-b", Boot: 1})
+			s.table.SetEngines(lost, []string{"e"})
+			if test.gone {
+				s.drop(lost, "members/vm-b")
+			}
+			at, claimed := s.firstClaim(lost, lost+20*time.Second, func(string) bool { return test.orders })
+			if claimed != test.claimed {
+				t.Fatalf("claimed: %t, want %t", claimed, test.claimed)
+			}
+			if !claimed {
+				return
+			}
+			if test.gone && at < lost+settleDelay {
+				t.Errorf("claimed %v after the key was lost, want at least %v", at-lost, settleDelay)
+			}
+			s.put(at, "engines/e", record{Member: "vm-a", Boot: 1})
+			if _, ok := s.table.MayOrder(at+test.quiet-time.Millisecond, "e"); ok {
+				t.Errorf("may order before %v have passed", test.quiet)
+			}
+			if _, ok := s.table.MayOrder(at+test.quiet, "e"); !ok {
+				t.Errorf("may not order after %v", test.quiet)
+			}
+		})
+	}
+}
+
+// A late claim must do nothing once the former daemon is back.
+func TestClaimIsBoundToTheAbsenceOfTheFormerDaemon(t *testing.T) {
+	s := newScript("vm-a", 1)
+	s.member(0, Member{Name: "vm-b", Boot: 1})
+	s.put(0, "engines/e", record{Member: "vm-b", Boot: 1})
+	s.table.SetEngines(0, []string{"e"})
+	s.drop(time.Second, "members/vm-b")
+	claims := s.table.Claims(time.Minute, nobody)
+	if len(claims) != 1 {
+		t.Fatal("no claim")
+	}
+	want := []infra.Compare{infra.ModifiedAt("p/engines/e", 2), infra.Absent("p/members/vm-b")}
+	for _, condition := range want {
+		found := slices.ContainsFunc(claims[0].Txn.If, func(c infra.Compare) bool {
+			return c.Key == condition.Key && c.Target == condition.Target && c.Revision == condition.Revision
+		})
+		if !found {
+			t.Errorf("the claim lacks the condition %+v: %+v", condition, claims[0].Txn.If)
+		}
+	}
+}
+
+// Daemons that are stopped one after the other must not leave all engines to
+// one of them.
+func TestEnginesOfDrainingDaemonsAreShared(t *testing.T) {
+	const daemons, engines = 9, 9
+	claimants := make(map[string]int)
+	for d := 1; d < daemons; d++ {
+		name := fmt.Sprint("vm-", d)
+		s := newScript(name, 1)
+		for m := range daemons {
+			s.member(0, Member{Name: fmt.Sprint("vm-", m), Boot: 1})
+		}
+		var ids []string
+		for e := range engines {
+			id := fmt.Sprint("engine-", e)
+			ids = append(ids, id)
+			s.put(0, "engines/"+id, record{Member: fmt.Sprint("vm-", e), Boot: 1})
+		}
+		s.table.SetEngines(0, ids)
+		const drained = time.Minute
+		s.member(drained, Member{Name: "vm-0", Boot: 1, Draining: true})
+		if at, ok := s.firstClaim(drained, drained+10*time.Second, nobody); ok {
+			claimants[name] = int((at - drained) / rankStep)
+		}
+	}
+	first := 0
+	for _, rank := range claimants {
+		if rank == 0 {
+			first++
+		}
+	}
+	if first > 1 {
+		t.Errorf("%d daemons claim at once: %v", first, claimants)
+	}
+}
+
+func TestRecordsOfLostEnginesAreRemovedByTheirOwner(t *testing.T) {
+	s := newScript("vm-a", 1)
+	s.member(0, Member{Name: "vm-a", Boot: 1})
+	s.put(0, "engines/e", record{Member: "vm-a", Boot: 1})
+	s.table.SetEngines(0, []string{"e"})
+	s.table.SetEngines(0, nil)
+	claims := s.table.Claims(time.Minute, nobody)
+	if len(claims) != 1 || len(claims[0].Txn.Then) != 1 || claims[0].Txn.Then[0].Kind != infra.OpDelete {
+		t.Errorf("got %+v, want the deletion of the record", claims)
+	}
+}
--- /dev/null
+++ b/internal/hop/hop_test.go
@@ -0,0 +1,304 @@
+package hop
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+)
+
+// script answers each request on a connection by one of its texts; the texts
+// are sent as they stand. A connection is closed after its last text.
+type script struct {
+	listener net.Listener
+	accepted atomic.Int32
+	requests atomic.Int32
+}
+
+func newScript(t *testing.T, answer func(conn net.Conn, n int32) bool) (*script, *Pool) {
+	t.Helper()
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &script{listener: listener}
+	t.Cleanup(func() { listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			s.accepted.Add(1)
+			go s.serve(conn, answer)
+		}
+	}()
+	return s, NewPool(netip.MustParseAddrPort(listener.Addr().String()), 0)
+}
+
+func (s *script) serve(conn net.Conn, answer func(net.Conn, int32) bool) {
+	defer conn.Close()
+	reader := bufio.NewReader(conn)
+	for {
+		request, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		n := s.requests.Add(1)
+		if request.Header.Get("Unread") == "" {
+			if _, err := io.Copy(io.Discard, request.Body); err != nil {
+				return
+			}
+		}
+		if !answer(conn, n) {
+			return
+		}
+	}
+}
+
+func text(id, body string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: %d\r\n\r\n%s", id, len(body), body)
+}
+
+func send(t *testing.T, pool *Pool, id string, maxIdle time.Duration) (*Response, error) {
+	t.Helper()
+	return pool.Send(t.Context(), &Request{Method: http.MethodGet, Target: "/x?y=%2F", Host: "h", Header: http.Header{}}, Options{
+		MaxIdle: maxIdle,
+		Ours:    func(h http.Header) bool { return h.Get("Id") == id },
+	})
+}
+
+func body(t *testing.T, r *Response) string {
+	t.Helper()
+	text, err := io.ReadAll(r.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return string(text)
+}
+
+func TestSkipsLateAnswersToEarlierRequests(t *testing.T) {
+	_, pool := newScript(t, func(conn net.Conn, _ int32) bool {
+		fmt.Fprint(conn, text("old", "not yours"), text("new", "yours"))
+		return true
+	})
+	response, err := send(t, pool, "new", time.Minute)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got := body(t, response); got != "yours" {
+		t.Errorf("got %q, want the request's own answer", got)
+	}
+}
+
+func TestRefusesForeignAnswers(t *testing.T) {
+	_, pool := newScript(t, func(conn net.Conn, _ int32) bool {
+		fmt.Fprint(conn, strings.Repeat(text("old", "not yours"), staleAnswers+1))
+		return true
+	})
+	_, err := send(t, pool, "new", time.Minute)
+	var failure *Error
+	if !errors.As(err, &failure) || !failure.Written || !errors.Is(err, errForeign) {
+		t.Errorf("got %v, want a written request with a foreign answer", err)
+	}
+}
+
+func TestConnectionReuse(t *testing.T) {
+	tests := []struct {
+		name    string
+		first   string
+		maxIdle time.Duration
+		reused  bool
+	}{
+		{"clean answer", text("a", "body"), time.Minute, true},
+		{"a new connection is asked for", text("a", "body"), 0, false},
+		{"bytes behind the answer", text("a", "body") + text("b", "more"), time.Minute, false},
+		{"the upstream closes", "HTTP/1.1 200 OK\r\nId: a\r\nConnection: close\r\nContent-Length: 0\r\n\r\n", time.Minute, false},
+		{"the upstream keeps it for no time", "HTTP/1.1 200 OK\r\nId: a\r\nKeep-Alive: timeout=1\r\nContent-Length: 0\r\n\r\n", time.Minute, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			_, pool := newScript(t, func(conn net.Conn, n int32) bool {
+				if n == 1 {
+					fmt.Fprint(conn, test.first)
+				} else {
+					fmt.Fprint(conn, text("a", "second"))
+				}
+				return true
+			})
+			response, err := send(t, pool, "a", time.Minute)
+			if err != nil {
+				t.Fatal(err)
+			}
+			body(t, response)
+			response.Release()
+			response, err = send(t, pool, "a", test.maxIdle)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if got := body(t, response); got != "second" {
+				t.Errorf("second answer is %q", got)
+			}
+			if response.Reused() != test.reused {
+				t.Errorf("connection reused: %t, want %t", response.Reused(), test.reused)
+			}
+		})
+	}
+}
+
+// A connection that the upstream closed while it was idle must not be used: a
+// request that runs at most once would be lost on it.
+func TestClosedIdleConnectionIsNotUsed(t *testing.T) {
+	closed := make(chan struct{})
+	script, pool := newScript(t, func(conn net.Conn, n int32) bool {
+		fmt.Fprint(conn, text("a", "body"))
+		if n == 1 {
+			conn.Close()
+			close(closed)
+		}
+		return n > 1
+	})
+	response, err := send(t, pool, "a", time.Minute)
+	if err != nil {
+		t.Fatal(err)
+	}
+	body(t, response)
+	response.Release()
+	<-closed
+	for len(pool.idle) > 0 && quiet(pool.idle[0].Conn) {
+		time.Sleep(time.Millisecond) // until the close has arrived
+	}
+	if _, err := send(t, pool, "a", time.Minute); err != nil {
+		t.Fatal(err)
+	}
+	if n := script.accepted.Load(); n != 2 {
+		t.Errorf("%d connections, want a second one", n)
+	}
+}
+
+// An upstream may answer before it has read a long body. The rest of the body
+// is due on that connection, so it must not carry another request.
+func TestEarlyAnswerEndsTheConnection(t *testing.T) {
+	script, pool := newScript(t, func(conn net.Conn, _ int32) bool {
+		fmt.Fprint(conn, text("a", "early"))
+		return true
+	})
+	request := &Request{Method: http.MethodPost, Target: "/", Host: "h", Header: http.Header{"Unread": {"1"}}, Body: make([]byte, 8<<20)}
+	response, err := pool.Send(t.Context(), request, Options{Ours: func(http.Header) bool { return true }})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got := body(t, response); got != "early" {
+		t.Errorf("got %q", got)
+	}
+	response.Release()
+	next, err := send(t, pool, "a", time.Minute)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if next.Reused() || script.accepted.Load() != 2 {
+		t.Error("the connection of an early answer was used again")
+	}
+}
+
+func TestCutAnswerIsNoEnd(t *testing.T) {
+	_, pool := newScript(t, func(conn net.Conn, _ int32) bool {
+		fmt.Fprint(conn, "HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 10\r\n\r\nhalf")
+		return false
+	})
+	response, err := send(t, pool, "a", time.Minute)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := io.ReadAll(response.Body); !errors.Is(err, io.ErrUnexpectedEOF) {
+		t.Errorf("got %v, want an unexpected end", err)
+	}
+}
+
+func TestErrorsTellWhetherBytesWereWritten(t *testing.T) {
+	_, open := newScript(t, func(net.Conn, int32) bool { return false })
+	_, err := send(t, open, "a", 0)
+	var failure *Error
+	if !errors.As(err, &failure) || !failure.Written {
+		t.Errorf("a connection closed after the request: got %v, want written", err)
+	}
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := netip.MustParseAddrPort(listener.Addr().String())
+	listener.Close()
+	_, err = send(t, NewPool(address, 0), "a", 0)
+	if !errors.As(err, &failure) || failure.Written || !errors.Is(err, ErrConnect) {
+		t.Errorf("nothing listens: got %v, want not written", err)
+	}
+}
+
+func TestGateStopsBeforeTheFirstByte(t *testing.T) {
+	script, pool := newScript(t, func(conn net.Conn, _ int32) bool { return true })
+	stopped := errors.New("stopped")
+	_, err := pool.Send(t.Context(), &Request{Method: http.MethodPost, Target: "/", Host: "h", Header: http.Header{}},
+		Options{Gate: func() error { return stopped }})
+	var failure *Error
+	if !errors.As(err, &failure) || failure.Written || !errors.Is(err, stopped) {
+		t.Errorf("got %v, want the gate's error and nothing written", err)
+	}
+	if n := script.requests.Load(); n != 0 {
+		t.Errorf("%d requests reached the upstream", n)
+	}
+}
+
+func TestLimitBoundsOpenConnections(t *testing.T) {
+	_, pool := newScript(t, func(conn net.Conn, _ int32) bool {
+		fmt.Fprint(conn, text("a", "body"))
+		return true
+	})
+	pool.SetLimit(1)
+	held, err := send(t, pool, "a", time.Minute)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := send(t, pool, "a", time.Minute); !errors.Is(err, ErrFull) {
+		t.Errorf("got %v beyond the limit, want %v", err, ErrFull)
+	}
+	body(t, held)
+	held.Release()
+	if _, err := send(t, pool, "a", time.Minute); err != nil {
+		t.Errorf("after the release: %v", err)
+	}
+}
+
+func TestEndOfContextEndsTheExchange(t *testing.T) {
+	reached := make(chan struct{})
+	_, pool := newScript(t, func(conn net.Conn, _ int32) bool {
+		close(reached)
+		_, _ = io.Copy(io.Discard, conn) // until the other side closes
+		return false
+	})
+	ctx, cancel := context.WithCancelCause(t.Context())
+	left := errors.New("caller left")
+	go func() {
+		<-reached
+		cancel(left)
+	}()
+	_, err := pool.Send(ctx, &Request{Method: http.MethodGet, Target: "/", Host: "h", Header: http.Header{}}, Options{})
+	if !errors.Is(err, left) {
+		t.Errorf("got %v, want the cause of the context's end", err)
+	}
+}
+
+func TestEndToEndDropsConnectionFields(t *testing.T) {
+	from := http.Header{"Connection": {"close, X-Own"}, "X-Own": {"1"}, "Keep-Alive": {"timeout=5"}, "Accept": {"text/html"}}
+	got := EndToEnd(from)
+	if len(got) != 1 || got.Get("Accept") != "text/html" {
+		t.Errorf("got %v, want only Accept", got)
+	}
+}
--- /dev/null
+++ b/internal/mirror/mirror_test.go
@@ -0,0 +1,128 @@
+package mirror
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"maps"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/barleylift/barleylift/internal/fake"
+	"github.com/barleylift/barleylift/internal/infra"
+)
+
+// copyOf keeps what a mirror delivered.
+type copyOf struct {
+	values map[string]string
+	stale  int
+	last   map[string]int64
+}
+
+func (c *copyOf) apply(changes []Change, _ int64) {
+	for _, change := range changes {
+		if change.Entry.ModRevision <= c.last[change.Entry.Key] {
+			c.stale++
+		}
+		c.last[change.Entry.Key] = change.Entry.ModRevision
+		if change.Deleted {
+			delete(c.values, change.Entry.Key)
+			continue
+		}
+		c.values[change.Entry.Key] = string(change.Entry.Value)
+	}
+}
+
+func start(t *testing.T, kv infra.KV) (*Mirror, *copyOf) {
+	c := &copyOf{values: map[string]string{}, last: map[string]int64{}}
+	m, err := New(Config{KV: kv, Prefix: "p/", Apply: c.apply, Log: slog.New(slog.NewTextHandler(io.Discard, nil))})
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	t.Cleanup(cancel)
+	go m.Run(ctx)
+	return m, c
+}
+
+func put(t *testing.T, kv *fake.KV, key, value string) int64 {
+	t.Helper()
+	result, err := kv.Txn(t.Context(), infra.Txn{Then: []infra.Op{infra.Put(key, []byte(value))}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return result.Revision
+}
+
+func check(t *testing.T, c *copyOf, want map[string]string) {
+	t.Helper()
+	if !maps.Equal(c.values, want) {
+		t.Errorf("the copy holds %v, want %v", c.values, want)
+	}
+	if c.stale > 0 {
+		t.Errorf("%d changes went back in time", c.stale)
+	}
+}
+
+func TestMirrorFollowsChanges(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		kv := fake.NewKV()
+		put(t, kv, "p/a", "1")
+		put(t, kv, "other", "x")
+		_, c := start(t, kv)
+		synctest.Wait()
+		check(t, c, map[string]string{"p/a": "1"})
+		put(t, kv, "p/a", "2")
+		put(t, kv, "p/b", "1")
+		if _, err := kv.Txn(t.Context(), infra.Txn{Then: []infra.Op{infra.Delete("p/a")}}); err != nil {
+			t.Fatal(err)
+		}
+		synctest.Wait()
+		check(t, c, map[string]string{"p/b": "1"})
+	})
+}
+
+func TestMirrorCatchesUpAfterLostHistory(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		kv := fake.NewKV()
+		put(t, kv, "p/gone", "1")
+		_, c := start(t, kv)
+		synctest.Wait()
+		kv.SetDown(true)
+		synctest.Wait()
+		kv.SetDown(false)
+		put(t, kv, "p/new", "1")
+		if _, err := kv.Txn(t.Context(), infra.Txn{Then: []infra.Op{infra.Delete("p/gone")}}); err != nil {
+			t.Fatal(err)
+		}
+		kv.Compact()
+		time.Sleep(2 * maxPause)
+		synctest.Wait()
+		check(t, c, map[string]string{"p/new": "1"})
+	})
+}
+
+// Changes that another daemon passes on are taken over at once, also during an
+// outage, and neither they nor those of the watch go back in time.
+func TestInjectedChangesComeOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		kv := fake.NewKV()
+		m, c := start(t, kv)
+		synctest.Wait()
+		kv.SetDown(true)
+		synctest.Wait()
+		const future = 100
+		m.Inject([]Change{{Entry: infra.Entry{Key: "p/a", Value: []byte("new"), ModRevision: future}}})
+		m.Inject([]Change{{Entry: infra.Entry{Key: "p/a", Value: []byte("old"), ModRevision: future - 1}}})
+		m.Inject([]Change{{Entry: infra.Entry{Key: "p/b", ModRevision: future + 1}, Deleted: true}})
+		m.Inject([]Change{{Entry: infra.Entry{Key: "p/b", Value: []byte("old"), ModRevision: future}}})
+		time.Sleep(2 * maxPause)
+		synctest.Wait()
+		check(t, c, map[string]string{"p/a": "new"})
+		kv.SetDown(false)
+		time.Sleep(2 * maxPause)
+		synctest.Wait()
+		check(t, c, map[string]string{"p/a": "new"})
+	})
+}
--- a/internal/residency/engine.go
+++ b/internal/residency/engine.go
@@ -36,6 +36,8 @@
 	conflictPause = 40 * time.Millisecond
 	// unansweredPause follows an order or report without an answer.
 	unansweredPause = 20 * time.Millisecond
+	// lateFor is how long an order without an answer may still be carried out.
+	lateFor = 13 * time.Second
 	// recentLimit bounds the memory of adapters that the engine held lately.
 	recentLimit = 96
 	// reloadShare is the time to load an adapter that the engine held lately,
@@ -121,6 +123,12 @@
 	heard        map[string]time.Duration
 	recent       []topology.Adapter
 	loadTime     time.Duration
+	// unanswered maps the preconditions of loads without an answer to when they
+	// were sent. While the engine's process lives, a later order makes them
+	// void. After a restart the new count may meet them by chance: reserved
+	// holds those of earlier processes, and for each a place is kept free.
+	unanswered map[int64]time.Duration
+	reserved   []time.Duration
 }
 
 // NewEngine returns an engine of which nothing is known.
@@ -133,6 +141,8 @@
 		running:  make(map[string]map[topology.Adapter]int),
 		heard:    make(map[string]time.Duration),
 		loadTime: firstLoadGuess,
+
+		unanswered: make(map[int64]time.Duration),
 	}
 }
 
@@ -148,6 +158,10 @@
 
 // Restarted drops everything: a new process of the engine holds nothing.
 func (e *Engine) Restarted(born int64) {
+	for _, sent := range e.unanswered {
+		e.reserved = append(e.reserved, sent)
+	}
+	clear(e.unanswered)
 	e.born = born
 	e.known = false
 	e.orders = 0
--- /dev/null
+++ b/internal/residency/engine_test.go
@@ -0,0 +1,310 @@
+package residency
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/barleylift/barleylift/internal/topology"
+	"pgregory.net/rapid"
+)
+
+func adapter(n int) topology.Adapter {
+	return topology.Adapter{Model: "m", Name: fmt.Sprint("a", n)}
+}
+
+// modelEngine is an engine as the platform describes it: it counts accepted
+// orders, checks that count as a precondition, may carry an unanswered order out
+// later, and reports its state with a lag.
+type modelEngine struct {
+	t        interface{ Fatalf(string, ...any) }
+	slots    int
+	orders   int64
+	loaded   bool
+	held     map[topology.Adapter]int64
+	loading  map[topology.Adapter]loadingAdapter
+	late     []lateOrder
+	reports  []topology.EngineReport
+	restarts int64
+}
+
+type loadingAdapter struct {
+	version int64
+	ready   time.Duration
+}
+
+type lateOrder struct {
+	order Order
+	due   time.Duration
+}
+
+const (
+	modelLoad   = 200 * time.Millisecond
+	reportDelay = 100 * time.Millisecond
+)
+
+func newModelEngine(t interface{ Fatalf(string, ...any) }, slots int) *modelEngine {
+	return &modelEngine{t: t, slots: slots, loaded: true, held: map[topology.Adapter]int64{}, loading: map[topology.Adapter]loadingAdapter{}}
+}
+
+// advance carries out what is due.
+func (m *modelEngine) advance(now time.Duration) {
+	for a, l := range m.loading {
+		if now >= l.ready {
+			delete(m.loading, a)
+			m.held[a] = l.version
+		}
+	}
+	var left []lateOrder
+	for _, l := range m.late {
+		if now >= l.due {
+			m.carryOut(now, l.order)
+		} else {
+			left = append(left, l)
+		}
+	}
+	m.late = left
+}
+
+func (m *modelEngine) carryOut(now time.Duration, order Order) Result {
+	if order.Precondition != m.orders {
+		return Conflict
+	}
+	switch order.Kind {
+	case LoadModel:
+		if m.loaded {
+			return Done
+		}
+		m.orders++
+		m.loaded = true
+		return Accepted
+	case UnloadAdapter:
+		if _, ok := m.held[order.Adapter]; !ok {
+			return Done
+		}
+		m.orders++
+		delete(m.held, order.Adapter)
+		return Done
+	}
+	if !m.loaded {
+		return Refused
+	}
+	version := max(order.Version, 1)
+	if m.held[order.Adapter] == version {
+		return Done
+	}
+	if len(m.loading) >= 4 {
+		return Conflict
+	}
+	if _, replaces := m.held[order.Adapter]; !replaces && len(m.held)+len(m.loading) >= m.slots {
+		m.t.Fatalf("at %v: ordered past %d slots: %+v", now, m.slots, order)
+	}
+	m.orders++
+	delete(m.held, order.Adapter)
+	m.loading[order.Adapter] = loadingAdapter{version: version, ready: now + modelLoad}
+	return Accepted
+}
+
+func (m *modelEngine) report() topology.EngineReport {
+	r := topology.EngineReport{Orders: m.orders, Born: 1 + m.restarts}
+	if m.loaded {
+		model := topology.HeldModel{Name: "m", Version: 1}
+		for a, version := range m.held {
+			model.Adapters = append(model.Adapters, topology.HeldAdapter{Name: a.Name, Version: version})
+		}
+		r.Models = []topology.HeldModel{model}
+	}
+	for a, l := range m.loading {
+		r.Loading = append(r.Loading, topology.LoadingAdapter{Adapter: a, Version: l.version})
+	}
+	return r
+}
+
+func (m *modelEngine) restart() {
+	m.restarts++
+	m.orders = 0
+	m.loaded = false
+	m.reports = nil
+	clear(m.held)
+	clear(m.loading)
+}
+
+// Whatever engines do with orders and reports, no order goes past the slots,
+// and when faults end the wanted adapters are ready.
+func TestOrdersNeverGoPastTheSlots(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		slots := rapid.IntRange(1, 5).Draw(t, "slots")
+		m := newModelEngine(t, slots)
+		e := NewEngine(Spec{Capacity: slots, Model: "m"})
+		e.Restarted(1)
+		now := time.Duration(0)
+		faults := true
+		step := func() {
+			now += time.Duration(rapid.IntRange(1, 120).Draw(t, "ms")) * time.Millisecond
+			m.advance(now)
+			m.reports = append(m.reports, m.report())
+			drive(t, m, e, now, faults)
+		}
+		for range rapid.IntRange(10, 120).Draw(t, "steps") {
+			if rapid.IntRange(0, 3).Draw(t, "want") == 0 {
+				e.Want(now, adapter(rapid.IntRange(0, 9).Draw(t, "adapter")), int64(rapid.IntRange(0, 2).Draw(t, "version")), 1)
+			}
+			if rapid.IntRange(0, 60).Draw(t, "restart") == 0 {
+				m.restart()
+			}
+			step()
+		}
+		faults = false
+		wanted := adapter(0)
+		for range 800 { // beyond lateFor, after which all places are used again
+			e.Want(now, wanted, 2, 1)
+			if e.Status(wanted, 2) == Ready {
+				if m.held[wanted] >= 2 {
+					return
+				}
+				// The engine refuses a request, as it does after a restart that
+				// nobody has told of yet.
+				e.Doubt(now, wanted)
+			}
+			step()
+		}
+		t.Fatalf("the adapter is not ready long after the last fault")
+	})
+}
+
+// drive does what the engine's state asks for.
+func drive(t *rapid.T, m *modelEngine, e *Engine, now time.Duration, faults bool) {
+	for range 8 {
+		action := e.Next(now)
+		switch {
+		case action.Report:
+			lag := 0
+			if faults {
+				lag = rapid.IntRange(0, 2).Draw(t, "lag")
+			}
+			e.Reported(now, m.reports[max(len(m.reports)-1-lag, 0)])
+			m.reports = append(m.reports, m.report())
+		case action.Order != nil:
+			e.Ordered(now, *action.Order, send(t, m, now, *action.Order, faults))
+			m.reports = append(m.reports, m.report())
+		default:
+			return
+		}
+	}
+}
+
+func send(t *rapid.T, m *modelEngine, now time.Duration, order Order, faults bool) Result {
+	if !faults {
+		return m.carryOut(now, order)
+	}
+	switch rapid.IntRange(0, 5).Draw(t, "fate") {
+	case 0: // carried out, the answer is lost
+		m.carryOut(now, order)
+		return Unanswered
+	case 1: // carried out later, perhaps after newer orders
+		m.late = append(m.late, lateOrder{order, now + time.Duration(rapid.IntRange(1, 2000).Draw(t, "late"))*time.Millisecond})
+		return Unanswered
+	default:
+		return m.carryOut(now, order)
+	}
+}
+
+// known returns an engine that holds the first adapters in the given version.
+func known(capacity int, versions ...int64) *Engine {
+	e := NewEngine(Spec{Capacity: capacity, Model: "m"})
+	e.Restarted(1)
+	model := topology.HeldModel{Name: "m", Version: 1}
+	for i, version := range versions {
+		model.Adapters = append(model.Adapters, topology.HeldAdapter{Name: adapter(i).Name, Version: version})
+	}
+	e.Reported(0, topology.EngineReport{Born: 1, Models: []topology.HeldModel{model}})
+	return e
+}
+
+func TestNextOrder(t *testing.T) {
+	const later = 10 * time.Second
+	tests := []struct {
+		name  string
+		setup func(e *Engine)
+		want  *Order
+	}{
+		{"an empty place is filled", func(e *Engine) { e.spec.Capacity = 3; e.Want(later, adapter(5), 4, 1) },
+			&Order{Kind: LoadAdapter, Adapter: adapter(5), Version: 4}},
+		{"the least used adapter makes room", func(e *Engine) {
+			e.Use(0, "entry", []Use{{Adapter: adapter(0), Count: 9}, {Adapter: adapter(1), Count: 2}})
+			e.Want(later, adapter(5), 0, 1)
+		}, &Order{Kind: UnloadAdapter, Adapter: adapter(1)}},
+		{"an adapter with running requests stays", func(e *Engine) {
+			e.Use(later, "entry", []Use{{Adapter: adapter(1), Running: 1}})
+			e.Want(later, adapter(5), 0, 1)
+		}, &Order{Kind: UnloadAdapter, Adapter: adapter(0)}},
+		{"an adapter that was just used stays", func(e *Engine) {
+			e.Touch(later, adapter(0))
+			e.Touch(later, adapter(1))
+			e.Want(later, adapter(5), 0, 1)
+		}, nil},
+		{"a wanted adapter stays", func(e *Engine) {
+			e.Want(later, adapter(0), 9, 5)
+			e.Want(later, adapter(5), 0, 9)
+		}, &Order{Kind: UnloadAdapter, Adapter: adapter(1)}},
+		{"a newer version replaces the one held", func(e *Engine) { e.Want(later, adapter(0), 2, 1) },
+			&Order{Kind: LoadAdapter, Adapter: adapter(0), Version: 2}},
+		{"the version that is held is enough", func(e *Engine) { e.Want(later, adapter(0), 1, 1) }, nil},
+		{"most value first", func(e *Engine) {
+			e.spec.Capacity = 3
+			e.Want(later, adapter(5), 0, 1)
+			e.Want(later, adapter(6), 0, 3)
+		}, &Order{Kind: LoadAdapter, Adapter: adapter(6)}},
+		{"a request that nobody repeats is dropped", func(e *Engine) { e.spec.Capacity = 3; e.Want(later-2*wantExpiry, adapter(5), 0, 1) }, nil},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			e := known(2, 1, 1)
+			test.setup(e)
+			got := e.Next(later).Order
+			if (got == nil) != (test.want == nil) || got != nil && *got != *test.want {
+				t.Errorf("next order is %+v, want %+v", got, test.want)
+			}
+		})
+	}
+}
+
+func TestLaggingReportChangesNothing(t *testing.T) {
+	e := known(2)
+	e.Want(0, adapter(0), 0, 1)
+	order := *e.Next(0).Order
+	e.Ordered(0, order, Accepted)
+	e.Reported(50*time.Millisecond, topology.EngineReport{Born: 1, Models: []topology.HeldModel{{Name: "m"}}})
+	if len(e.places) != 1 {
+		t.Error("a report from before the order freed the place of the load")
+	}
+}
+
+func TestDoubtedAdapterServesNothingUntilTheReport(t *testing.T) {
+	e := known(2, 1)
+	e.Doubt(0, adapter(0))
+	if e.Status(adapter(0), 0) != Waiting || !e.Next(0).Report {
+		t.Fatal("a doubted adapter must wait for a report")
+	}
+	e.Reported(time.Millisecond, topology.EngineReport{Born: 1, Models: []topology.HeldModel{{Name: "m"}}})
+	if len(e.places) != 0 {
+		t.Error("the adapter that the engine does not hold keeps its place")
+	}
+}
+
+func TestModelDelaySpreadsALargeStart(t *testing.T) {
+	if d := ModelDelay("e", 9, 2.1); d != 0 {
+		t.Errorf("few engines wait %v", d)
+	}
+	const engines, rate = 2700, 60.0
+	window := make(map[int]int)
+	for i := range engines {
+		window[int(ModelDelay(fmt.Sprint("engine-", i), engines, rate)/loadWindow)]++
+	}
+	for w, n := range window {
+		// Bound of the platform: a tenth and three loads over the rate.
+		if limit := int(rate*loadWindow.Seconds()*1.1) + 3; n > limit+limit/5 {
+			t.Errorf("window %d: %d loads, want about %d", w, n, limit)
+		}
+	}
+}
--- a/internal/residency/next.go
+++ b/internal/residency/next.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -81,6 +82,9 @@
 			delete(e.wants, adapter)
 		}
 	}
+	isOld := func(sent time.Duration) bool { return now-sent > lateFor }
+	maps.DeleteFunc(e.unanswered, func(_ int64, sent time.Duration) bool { return isOld(sent) })
+	e.reserved = slices.DeleteFunc(e.reserved, isOld)
 	for entry, at := range e.heard {
 		if now-at > entrySilence {
 			e.Drop(entry)
@@ -185,7 +189,7 @@
 		return nil
 	case e.inTransit() >= transitLimit:
 		return nil
-	case len(e.places) < e.spec.Capacity:
+	case len(e.places)+len(e.reserved) < e.spec.Capacity:
 		return load
 	}
 	victim, ok := e.victim(now)
--- a/internal/residency/result.go
+++ b/internal/residency/result.go
@@ -46,6 +46,9 @@
 	case Unanswered:
 		// The state stays: whatever is ordered next has the same precondition.
 		e.notUntil = now + unansweredPause
+		if order.Kind == LoadAdapter {
+			e.unanswered[order.Precondition] = now
+		}
 	}
 }
 
@@ -143,7 +146,11 @@
 // Reported takes over the engine's report. A report that lags behind accepted
 // orders changes nothing.
 func (e *Engine) Reported(now time.Duration, report topology.EngineReport) {
-	if report.Born != 0 && report.Born != e.born {
+	if report.Born != 0 && report.Born < e.born {
+		e.postpone(now)
+		return
+	}
+	if report.Born > e.born {
 		e.Restarted(report.Born)
 	}
 	if report.Orders < e.orders && now-e.accepted < staleReport {
@@ -196,11 +203,7 @@
 	}
 	for _, l := range report.Loading {
 		seen[l.Adapter] = true
-		if e.places[l.Adapter] == nil {
-			p := &place{phase: loading, target: l.Version, order: e.orders, lastUse: now, agedAt: now}
-			p.schedule(now, firstRecheck)
-			e.places[l.Adapter] = p
-		}
+		e.takeLoading(now, l)
 	}
 	for adapter, p := range e.places {
 		if !seen[adapter] && report.Orders >= p.order {
@@ -210,6 +213,24 @@
 	}
 }
 
+// takeLoading takes over an adapter on its way. It may come from an order
+// without an answer, or from the daemon that ordered the engine before.
+func (e *Engine) takeLoading(now time.Duration, l topology.LoadingAdapter) {
+	p := e.places[l.Adapter]
+	switch {
+	case p == nil:
+		p = &place{phase: loading, lastUse: now, agedAt: now}
+		e.places[l.Adapter] = p
+	case p.phase == ready:
+		p.phase = replacing
+	default:
+		return
+	}
+	p.target = l.Version
+	p.order = e.orders
+	p.schedule(now, firstRecheck)
+}
+
 func (e *Engine) takeHeld(now time.Duration, adapter topology.Adapter, version int64) {
 	p := e.places[adapter]
 	if p == nil {
