--- /dev/null
+++ b/internal/steer/steer_test.go
@@ -0,0 +1,158 @@
+package steer
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"github.com/barleylift/barleylift/internal/topology"
+)
+
+var hot = topology.Adapter{Model: "m", Name: "hot"}
+
+func fleet(n int) []Engine {
+	engines := make([]Engine, n)
+	for i := range engines {
+		engines[i] = Engine{ID: fmt.Sprint("engine-", i), Slots: 64}
+	}
+	return engines
+}
+
+func TestPick(t *testing.T) {
+	first := order(hot, fleet(4))
+	at := func(engines []Engine, id string) *Engine {
+		for i := range engines {
+			if engines[i].ID == id {
+				return &engines[i]
+			}
+		}
+		panic(id)
+	}
+	tests := []struct {
+		name  string
+		setup func(engines []Engine)
+		want  Choice
+	}{
+		{"a cold adapter goes to its home", func([]Engine) {}, Choice{Engine: first[0].ID, Load: true}},
+		{"a home without an owner is passed over", func(e []Engine) { at(e, first[0].ID).Orderless = true }, Choice{Engine: first[1].ID, Load: true}},
+		{"a home with many loads is passed over", func(e []Engine) { at(e, first[0].ID).Loads = longLoads }, Choice{Engine: first[1].ID, Load: true}},
+		{"a home that is far more loaded is passed over", func(e []Engine) { at(e, first[0].ID).Queued = busyQueue + 1 }, Choice{Engine: first[1].ID, Load: true}},
+		{"a holder is taken before the home", func(e []Engine) { at(e, first[2].ID).Holds = true }, Choice{Engine: first[2].ID}},
+		{"of two holders the one with fewer waiting", func(e []Engine) {
+			at(e, first[0].ID).Holds, at(e, first[0].ID).Queued = true, 2
+			at(e, first[1].ID).Holds = true
+		}, Choice{Engine: first[1].ID}},
+		{"a hot adapter is spread to the next engine", func(e []Engine) {
+			at(e, first[0].ID).Holds, at(e, first[0].ID).Queued = true, spreadQueue
+		}, Choice{Engine: first[0].ID, Spread: first[1].ID}},
+		{"nothing is spread among engines that are all full", func(e []Engine) {
+			for i := range e {
+				e[i].Queued = spreadQueue
+			}
+			at(e, first[0].ID).Holds = true
+		}, Choice{Engine: first[0].ID}},
+		{"an older version serves while the new one is loaded beside it", func(e []Engine) { at(e, first[0].ID).Outdated = true },
+			Choice{Engine: first[0].ID, Spread: first[1].ID}},
+		{"the new version is taken once it is there", func(e []Engine) {
+			at(e, first[0].ID).Outdated = true
+			at(e, first[1].ID).Holds = true
+		}, Choice{Engine: first[1].ID}},
+		{"a suspect engine is avoided", func(e []Engine) { at(e, first[0].ID).Suspect = true }, Choice{Engine: first[1].ID, Load: true}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			engines := fleet(4)
+			test.setup(engines)
+			if got, ok := Pick(hot, engines); !ok || got != test.want {
+				t.Errorf("got %+v, want %+v", got, test.want)
+			}
+		})
+	}
+	if _, ok := Pick(hot, nil); ok {
+		t.Error("chose one of no engines")
+	}
+}
+
+func TestPickReplica(t *testing.T) {
+	tests := []struct {
+		name     string
+		replicas []Replica
+		want     string
+	}{
+		{"the least loaded", []Replica{{ID: "a", Running: 3}, {ID: "b", Running: 1}}, "b"},
+		{"of equals the near one", []Replica{{ID: "a", Running: 1}, {ID: "b", Running: 1, Near: true}}, "b"},
+		{"not the one that fails", []Replica{{ID: "a", Near: true, Failures: 0.9}, {ID: "b", Running: 5}}, "b"},
+		{"not the slow one", []Replica{{ID: "a", Near: true, Latency: 0.6}, {ID: "b", Running: 1, Latency: 0.06}}, "b"},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			if got, _ := PickReplica(test.replicas); got != test.want {
+				t.Errorf("got %s, want %s", got, test.want)
+			}
+		})
+	}
+}
+
+// The load of the deployments: 9 engines of 17 places, 3,000 adapters with the
+// popularity of Zipf's law (1.2). Adapters must come back to engines that held
+// them, so that few are fetched from the weight store more than once.
+func TestHomesKeepFetchesFew(t *testing.T) {
+	const engines, places, remembered, requests = 9, 17, 96, 4000
+	fetches := func(pick func(topology.Adapter, []Engine) string) int {
+		random := rand.New(rand.NewPCG(1, 2))
+		zipf := rand.NewZipf(random, 1.2, 1, 2999)
+		held := make([][]string, engines)
+		known := make([]map[string]bool, engines)
+		for i := range known {
+			known[i] = make(map[string]bool)
+		}
+		count := 0
+		for range requests {
+			a := topology.Adapter{Model: "m", Name: fmt.Sprint("a", zipf.Uint64())}
+			snapshot := fleet(engines)
+			for i := range snapshot {
+				snapshot[i].Holds = contains(held[i], a.Name)
+				snapshot[i].Running = random.IntN(12)
+			}
+			id := pick(a, snapshot)
+			i := int(id[len(id)-1] - '0')
+			if contains(held[i], a.Name) {
+				continue
+			}
+			if !known[i][a.Name] {
+				count++
+				known[i][a.Name] = len(known[i]) < remembered+places
+			}
+			held[i] = append(held[i], a.Name)
+			if len(held[i]) > places {
+				held[i] = held[i][1:]
+			}
+		}
+		return count
+	}
+	home := fetches(func(a topology.Adapter, e []Engine) string {
+		choice, _ := Pick(a, e)
+		return choice.Engine
+	})
+	leastLoaded := fetches(func(a topology.Adapter, e []Engine) string {
+		for _, engine := range e {
+			if engine.Holds {
+				return engine.ID
+			}
+		}
+		return least(e).ID
+	})
+	t.Logf("fetches: %d by homes, %d by least load", home, leastLoaded)
+	if home >= leastLoaded {
+		t.Errorf("%d fetches by homes, %d by least load", home, leastLoaded)
+	}
+}
+
+func contains(list []string, s string) bool {
+	for _, other := range list {
+		if other == s {
+			return true
+		}
+	}
+	return false
+}
