--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -6,7 +6,6 @@
 	"io"
 	"log/slog"
 	"net/http"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -50,7 +49,6 @@
 	table    atomic.Pointer[routing.Table]
 	draining atomic.Bool
 	refusing atomic.Bool
-	active   sync.WaitGroup
 	inFlight atomic.Int64
 }
 
