orders: the owner of an engine knows exactly which requests run there

Entries now tell the end of each request that had a turn, notices make up for lost news, and nothing is ordered while an unload waits.

--- a/internal/gateway/notices.go
+++ b/internal/gateway/notices.go
@@ -164,7 +164,8 @@
 	case packet.Change != nil:
 		g.mirror.Inject([]mirror.Change{changeOf(packet.Change)})
 	case packet.Begun != nil:
-		g.orders.Begun(packet.Begun.Engine, admission.Key{Entry: packet.From, Ticket: packet.Begun.Ticket}, packet.Begun.Refused)
+		begun := packet.Begun
+		g.orders.Begun(begun.Engine, admission.Key{Entry: packet.From, Ticket: begun.Ticket}, orders.Progress{Refused: begun.Refused, Ended: begun.Ended})
 	}
 }
 
@@ -218,18 +219,18 @@
 	g.tell(entry, orders.News{Engine: engine, Ticket: ask.Ticket, Status: status})
 }
 
-// begun tells the owner of an engine that a turn is over.
-func (g *Gateway) begun(engine string, ticket uint64, refused bool) {
+// begun tells the owner of an engine that a turn is over, or its request ended.
+func (g *Gateway) begun(engine string, ticket uint64, progress orders.Progress) {
 	owner, ok := g.keeper.Owner(engine)
 	if !ok {
 		return
 	}
 	self := g.keeper.Self()
 	if owner.Name == self.Name {
-		g.orders.Begun(engine, admission.Key{Entry: self.Name, Ticket: ticket}, refused)
+		g.orders.Begun(engine, admission.Key{Entry: self.Name, Ticket: ticket}, progress)
 		return
 	}
-	g.mesh.Send(owner.Mesh, mesh.Packet{Begun: &mesh.Begun{Engine: engine, Ticket: ticket, Refused: refused}})
+	g.mesh.Send(owner.Mesh, mesh.Packet{Begun: &mesh.Begun{Engine: engine, Ticket: ticket, Refused: progress.Refused, Ended: progress.Ended}})
 }
 
 // tell passes news about a request on to its entry.
@@ -296,7 +297,7 @@
 	message := mesh.EngineUse{Engine: use.Engine, Running: use.Running}
 	for _, u := range use.Uses {
 		message.Adapters = append(message.Adapters, mesh.AdapterUse{
-			Model: u.Adapter.Model, Adapter: u.Adapter.Name, Count: u.Count, Running: u.Running,
+			Model: u.Adapter.Model, Adapter: u.Adapter.Name, Count: u.Count, Running: u.Running, Turned: u.Turned,
 		})
 	}
 	return message
@@ -306,7 +307,7 @@
 	uses := make([]residency.Use, 0, len(message.Adapters))
 	for _, u := range message.Adapters {
 		uses = append(uses, residency.Use{
-			Adapter: topology.Adapter{Model: u.Model, Name: u.Adapter}, Count: u.Count, Running: u.Running,
+			Adapter: topology.Adapter{Model: u.Model, Name: u.Adapter}, Count: u.Count, Running: u.Running, Turned: u.Turned,
 		})
 	}
 	return uses
--- a/internal/locator/locator.go
+++ b/internal/locator/locator.go
@@ -24,9 +24,8 @@
 	// for the adapter only. It returns false if no owner is known. The answer
 	// comes by Told, perhaps within the call.
 	Ask func(engine string, ask Ask) bool
-	// Begun tells the owner of an engine that a turn is over, and whether the
-	// engine refused the request.
-	Begun func(engine string, ticket uint64, refused bool)
+	// Begun tells the owner of an engine that a turn is over, or its request ended.
+	Begun func(engine string, ticket uint64, progress orders.Progress)
 	Log   *slog.Logger
 }
 
@@ -183,8 +182,9 @@
 	return 0
 }
 
-// Begin counts a request that is about to be sent to an upstream.
-func (l *Locator) Begin(upstream string, adapter topology.Adapter) {
+// Begin counts a request that is about to be sent to an upstream. Turned tells
+// that it has a turn there.
+func (l *Locator) Begin(upstream string, adapter topology.Adapter, turned bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	v := l.views[upstream]
@@ -195,12 +195,12 @@
 	if adapter.Name != "" {
 		u := v.use(adapter)
 		u.count++
-		u.running++
+		u.add(turned, 1)
 	}
 }
 
 // End takes over that a request to an upstream has ended.
-func (l *Locator) End(upstream string, adapter topology.Adapter) {
+func (l *Locator) End(upstream string, adapter topology.Adapter, turned bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	v := l.views[upstream]
@@ -209,7 +209,7 @@
 	}
 	v.running--
 	if adapter.Name != "" {
-		v.use(adapter).running--
+		v.use(adapter).add(turned, -1)
 	}
 }
 
--- a/internal/locator/view.go
+++ b/internal/locator/view.go
@@ -50,8 +50,18 @@
 
 // use is an adapter's use since the last notice to the owner.
 type use struct {
-	count   int
+	count int
+	// running is the number of requests without a turn, turned of those with one.
 	running int
+	turned  int
+}
+
+func (u *use) add(turned bool, n int) {
+	if turned {
+		u.turned += n
+		return
+	}
+	u.running += n
 }
 
 func newView(upstream topology.Upstream) *view {
@@ -142,11 +152,11 @@
 func (v *view) takeUses() []residency.Use {
 	var list []residency.Use
 	for adapter, u := range v.uses {
-		if u.count == 0 && u.running == 0 {
+		if u.count == 0 && u.running == 0 && u.turned == 0 {
 			delete(v.uses, adapter)
 			continue
 		}
-		list = append(list, residency.Use{Adapter: adapter, Count: u.count, Running: u.running})
+		list = append(list, residency.Use{Adapter: adapter, Count: u.count, Running: u.running, Turned: u.turned})
 		u.count = 0
 	}
 	return list
--- a/internal/locator/wait.go
+++ b/internal/locator/wait.go
@@ -184,7 +184,7 @@
 	unused := !l.active[key] && granted(w)
 	l.mu.Unlock()
 	if unused {
-		l.config.Begun(engine, ticket, false)
+		l.config.Begun(engine, ticket, orders.Progress{Ended: true})
 	}
 }
 
@@ -202,13 +202,13 @@
 	}
 }
 
-// Begun tells the owner of an engine that a request's turn is over. Refused
-// tells that the engine does not hold what it was expected to.
-func (l *Locator) Begun(engine string, ticket uint64, refused bool) {
+// Begun tells the owner of an engine that a request's turn is over, or that the
+// request has ended.
+func (l *Locator) Begun(engine string, ticket uint64, progress orders.Progress) {
 	l.mu.Lock()
 	delete(l.active, waitKey{engine, ticket})
 	l.mu.Unlock()
-	l.config.Begun(engine, ticket, refused)
+	l.config.Begun(engine, ticket, progress)
 }
 
 // Request asks for an adapter at an engine for later requests.
@@ -233,6 +233,6 @@
 	l.mu.Unlock()
 	if unused {
 		// The caller may hold the lock of the engine's worker.
-		go l.config.Begun(news.Engine, news.Ticket, false)
+		go l.config.Begun(news.Engine, news.Ticket, orders.Progress{Ended: true})
 	}
 }
--- a/internal/mesh/packet.go
+++ b/internal/mesh/packet.go
@@ -51,6 +51,7 @@
 	Adapter string
 	Count   int
 	Running int
+	Turned  int
 }
 
 // EngineState is an engine as the daemon that orders it knows it.
@@ -101,6 +102,8 @@
 	// Refused tells that the engine refused the request, because it does not
 	// hold what its owner believes.
 	Refused bool `cbor:"3,keyasint,omitempty"`
+	// Ended tells that the request itself has ended.
+	Ended bool `cbor:"4,keyasint,omitempty"`
 }
 
 // Change is a change of the key-value service that the sender has seen.
--- a/internal/orders/pool.go
+++ b/internal/orders/pool.go
@@ -149,11 +149,18 @@
 	}
 }
 
-// Begun takes over that a request's turn at an engine is over. Refused tells
-// that the engine does not hold what it was expected to.
-func (p *Pool) Begun(engine string, key admission.Key, refused bool) {
+// Progress is what became of a request that had its turn.
+type Progress struct {
+	// Refused tells that the engine does not hold what it was expected to.
+	Refused bool
+	// Ended tells that the request has ended; else its first event has come.
+	Ended bool
+}
+
+// Begun takes over that a request's turn at an engine is over.
+func (p *Pool) Begun(engine string, key admission.Key, progress Progress) {
 	if w := p.worker(engine); w != nil {
-		w.begun(clock.Boot(), key, refused)
+		w.begun(clock.Boot(), key, progress)
 	}
 }
 
--- a/internal/orders/worker.go
+++ b/internal/orders/worker.go
@@ -114,13 +114,16 @@
 	w.signal()
 }
 
-func (w *worker) begun(now time.Duration, key admission.Key, refused bool) {
+func (w *worker) begun(now time.Duration, key admission.Key, progress Progress) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if adapter, ok := w.gate.Adapter(key); ok && refused {
+	if adapter, ok := w.gate.Adapter(key); ok && progress.Refused {
 		w.log.Info("engine refused a request that had its turn, asking for its report", "adapter", adapter.String())
 		w.engine.Doubt(now, adapter)
 	}
+	if progress.Ended {
+		w.engine.Ended(now, key.Entry, key.Ticket)
+	}
 	w.gate.Begun(now, key)
 	w.decide(now, admission.Key{})
 	w.signal()
@@ -151,7 +154,7 @@
 func (w *worker) decide(now time.Duration, answering admission.Key) {
 	for _, d := range w.gate.Next(now, w.status) {
 		if d.Status == residency.Ready {
-			w.engine.Touch(now, d.Adapter)
+			w.engine.Granted(now, d.Key.Entry, d.Key.Ticket, d.Adapter)
 		}
 		if d.Key == answering {
 			continue
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -40,6 +40,7 @@
 	// be told that it is over; 0 if there is none.
 	turnEngine string
 	turnTicket uint64
+	turnOver   bool
 	// waited is the time spent on waiting for adapters and turns.
 	waited time.Duration
 	// headSent tells that the caller has got the head of an answer.
--- a/internal/relay/model.go
+++ b/internal/relay/model.go
@@ -9,6 +9,7 @@
 
 	"github.com/barleylift/barleylift/internal/clock"
 	"github.com/barleylift/barleylift/internal/locator"
+	"github.com/barleylift/barleylift/internal/orders"
 	"github.com/barleylift/barleylift/internal/routing"
 	"github.com/barleylift/barleylift/internal/steer"
 	"github.com/barleylift/barleylift/internal/topology"
@@ -116,15 +117,15 @@
 func (e *exchange) tryEngine(id string, ticket uint64) bool {
 	engines := e.relay.config.Locator
 	e.begin(id, ticket)
-	defer e.begun(false)
+	defer e.ended()
 	upstream, ok := engines.Upstream(id)
 	if !ok {
 		e.tried = append(e.tried, id)
 		return false
 	}
 	e.upstream = id
-	engines.Begin(id, e.call.Adapter)
-	defer engines.End(id, e.call.Adapter)
+	engines.Begin(id, e.call.Adapter, ticket != 0)
+	defer engines.End(id, e.call.Adapter, ticket != 0)
 	result := e.send(e.ctx, upstream, Sending{
 		Version:   engines.Version(id, e.call.Adapter),
 		Urgency:   e.route.Rank,
@@ -141,16 +142,25 @@
 	return e.passOn(upstream, result)
 }
 
-// begin notes the turn of which the owner is to be told that it is over.
+// begin notes the turn of which the owner is to be told.
 func (e *exchange) begin(engine string, ticket uint64) {
 	e.turnEngine = engine
 	e.turnTicket = ticket
+	e.turnOver = false
 }
 
 // begun tells the owner of the engine that the turn is over, once.
 func (e *exchange) begun(refused bool) {
+	if e.turnTicket != 0 && !e.turnOver {
+		e.turnOver = true
+		e.relay.config.Locator.Begun(e.turnEngine, e.turnTicket, orders.Progress{Refused: refused})
+	}
+}
+
+// ended tells the owner of the engine that the request has ended there.
+func (e *exchange) ended() {
 	if e.turnTicket != 0 {
-		e.relay.config.Locator.Begun(e.turnEngine, e.turnTicket, refused)
+		e.relay.config.Locator.Begun(e.turnEngine, e.turnTicket, orders.Progress{Ended: true})
 		e.turnTicket = 0
 	}
 }
--- a/internal/relay/plain.go
+++ b/internal/relay/plain.go
@@ -61,8 +61,8 @@
 		return true
 	}
 	e.upstream = id
-	locator.Begin(id, topology.Adapter{})
-	defer locator.End(id, topology.Adapter{})
+	locator.Begin(id, topology.Adapter{}, false)
+	defer locator.End(id, topology.Adapter{}, false)
 	ctx, cancel := e.tryContext()
 	defer cancel()
 	started := time.Now()
--- a/internal/residency/engine.go
+++ b/internal/residency/engine.go
@@ -10,9 +10,9 @@
 const (
 	// wantExpiry drops a request for an adapter that nobody repeats.
 	wantExpiry = time.Second
-	// minIdle is how long an adapter must have been unused to be evicted, so
-	// that entries which still believe it is held do not send in vain. It
-	// covers two rounds of the entries' notices.
+	// minIdle is how long an adapter must have been unused to be evicted.
+	// Requests with a turn count from its grant to their end; this covers those
+	// that are sent without one.
 	minIdle = 400 * time.Millisecond
 	// stuckAfter is how long an adapter waits for a place before its requests
 	// are sent elsewhere. Requests run for some seconds, so that one of 17
@@ -119,10 +119,14 @@
 	modelLoading bool
 	places       map[topology.Adapter]*place
 	wants        map[topology.Adapter]*want
-	running      map[string]map[topology.Adapter]int
-	heard        map[string]time.Duration
-	recent       []topology.Adapter
-	loadTime     time.Duration
+	// running counts each entry's requests by its last notice: those that were
+	// sent without a turn, and those with a turn that this daemon did not grant.
+	running map[string]map[topology.Adapter]int
+	// granted are the requests with a turn of this daemon that have not ended.
+	granted  map[run]grantedRun
+	heard    map[string]time.Duration
+	recent   []topology.Adapter
+	loadTime time.Duration
 	// unanswered maps the preconditions of loads without an answer to when they
 	// were sent. While the engine's process lives, a later order makes them
 	// void. After a restart the new count may meet them by chance: reserved
@@ -139,6 +143,7 @@
 		places:   make(map[topology.Adapter]*place),
 		wants:    make(map[topology.Adapter]*want),
 		running:  make(map[string]map[topology.Adapter]int),
+		granted:  make(map[run]grantedRun),
 		heard:    make(map[string]time.Duration),
 		loadTime: firstLoadGuess,
 
@@ -169,6 +174,7 @@
 	clear(e.models)
 	clear(e.places)
 	clear(e.running)
+	clear(e.granted)
 }
 
 // Born returns the start of the engine's process in Unix milliseconds.
@@ -189,11 +195,49 @@
 	w.asked = now
 }
 
+// run names a request by its entry and its ticket there.
+type run struct {
+	entry  string
+	ticket uint64
+}
+
+// grantedRun is a request with a turn.
+type grantedRun struct {
+	adapter topology.Adapter
+	since   time.Duration
+}
+
+// grantSettles is how long after its turn a request may be missing in its
+// entry's notices, which were under way before.
+const grantSettles = 500 * time.Millisecond
+
+// Granted takes over that a request has its turn and is about to be sent.
+func (e *Engine) Granted(now time.Duration, entry string, ticket uint64, adapter topology.Adapter) {
+	e.granted[run{entry, ticket}] = grantedRun{adapter: adapter, since: now}
+	if p := e.places[adapter]; p != nil {
+		p.lastUse = now
+	}
+}
+
+// Ended takes over that a request with a turn has ended.
+func (e *Engine) Ended(now time.Duration, entry string, ticket uint64) {
+	g, ok := e.granted[run{entry, ticket}]
+	if !ok {
+		return
+	}
+	delete(e.granted, run{entry, ticket})
+	if p := e.places[g.adapter]; p != nil {
+		p.lastUse = now
+	}
+}
+
 // Use takes over what one entry has sent to the engine since its last notice,
 // and what of it still runs.
 func (e *Engine) Use(now time.Duration, entry string, uses []Use) {
 	running := make(map[topology.Adapter]int, len(uses))
+	turned := make(map[topology.Adapter]int, len(uses))
 	for _, use := range uses {
+		turned[use.Adapter] = use.Turned
 		if use.Running > 0 {
 			running[use.Adapter] = use.Running
 		}
@@ -203,6 +247,19 @@
 			p.agedAt = now
 		}
 	}
+	for r, g := range e.granted {
+		switch {
+		case r.entry != entry:
+		case turned[g.adapter] > 0:
+			turned[g.adapter]--
+		case now-g.since > grantSettles:
+			// The news of its end was lost.
+			delete(e.granted, r)
+		}
+	}
+	for adapter, n := range turned {
+		running[adapter] += n
+	}
 	e.running[entry] = running
 	e.heard[entry] = now
 }
@@ -212,21 +269,21 @@
 	Adapter topology.Adapter
 	// Count is the number of requests sent since the last notice.
 	Count int
-	// Running is the number of requests that have not ended.
+	// Running is the number of requests without a turn that have not ended,
+	// Turned that of requests with one.
 	Running int
-}
-
-// Touch notes that a request for an adapter is about to be sent.
-func (e *Engine) Touch(now time.Duration, adapter topology.Adapter) {
-	if p := e.places[adapter]; p != nil {
-		p.lastUse = now
-	}
+	Turned  int
 }
 
 // Drop forgets an entry that has gone.
 func (e *Engine) Drop(entry string) {
 	delete(e.running, entry)
 	delete(e.heard, entry)
+	for r := range e.granted {
+		if r.entry == entry {
+			delete(e.granted, r)
+		}
+	}
 }
 
 func (e *Engine) runs(adapter topology.Adapter) int {
@@ -234,6 +291,11 @@
 	for _, running := range e.running {
 		total += running[adapter]
 	}
+	for _, g := range e.granted {
+		if g.adapter == adapter {
+			total++
+		}
+	}
 	return total
 }
 
--- a/internal/residency/engine_test.go
+++ b/internal/residency/engine_test.go
@@ -239,8 +239,30 @@
 			e.Want(later, adapter(5), 0, 1)
 		}, &Order{Kind: UnloadAdapter, Adapter: adapter(0)}},
 		{"an adapter that was just used stays", func(e *Engine) {
-			e.Touch(later, adapter(0))
-			e.Touch(later, adapter(1))
+			e.Granted(later, "entry", 1, adapter(0))
+			e.Granted(later, "entry", 2, adapter(1))
+			e.Ended(later, "entry", 1)
+			e.Ended(later, "entry", 2)
+			e.Want(later, adapter(5), 0, 1)
+		}, nil},
+		{"an adapter of a request with a turn stays until its end", func(e *Engine) {
+			e.Granted(0, "entry", 1, adapter(0))
+			e.Want(later, adapter(5), 0, 1)
+		}, &Order{Kind: UnloadAdapter, Adapter: adapter(1)}},
+		{"a lost news of an end is made up by the entry's notice", func(e *Engine) {
+			e.Granted(0, "entry", 1, adapter(0))
+			e.Granted(0, "entry", 2, adapter(1))
+			e.Use(time.Second, "entry", []Use{{Adapter: adapter(1), Turned: 1}})
+			e.Want(later, adapter(5), 0, 1)
+		}, &Order{Kind: UnloadAdapter, Adapter: adapter(0)}},
+		{"a request with a turn of a former owner counts", func(e *Engine) {
+			e.Use(later, "entry", []Use{{Adapter: adapter(1), Turned: 1}})
+			e.Want(later, adapter(5), 0, 1)
+		}, &Order{Kind: UnloadAdapter, Adapter: adapter(0)}},
+		{"nothing is ordered while an unload waits for its runs", func(e *Engine) {
+			e.Ordered(0, Order{Kind: UnloadAdapter, Adapter: adapter(0)}, Accepted)
+			e.Reported(later, topology.EngineReport{Born: 1, Orders: 1, Models: []topology.HeldModel{{Name: "m",
+				Adapters: []topology.HeldAdapter{{Name: "a0", Version: 1}, {Name: "a1", Version: 1}}}}})
 			e.Want(later, adapter(5), 0, 1)
 		}, nil},
 		{"a wanted adapter stays", func(e *Engine) {
--- a/internal/residency/next.go
+++ b/internal/residency/next.go
@@ -135,7 +135,7 @@
 }
 
 func (e *Engine) nextOrder(now time.Duration) *Order {
-	if e.spec.Model == "" || e.modelLoading {
+	if e.spec.Model == "" || e.modelLoading || e.unloading() {
 		return nil
 	}
 	if !e.HasModel() {
@@ -152,6 +152,17 @@
 	return nil
 }
 
+// unloading reports whether an unload waits for its runs. The engine refuses
+// all other orders until it is done.
+func (e *Engine) unloading() bool {
+	for _, p := range e.places {
+		if p.phase == leaving {
+			return true
+		}
+	}
+	return false
+}
+
 // byWeight lists the wanted adapters, the one for which most value has waited
 // for longest first.
 func (e *Engine) byWeight(now time.Duration) []topology.Adapter {
