locator: waits come with each answer, and a choice is made anew after 500 ms

Each answer to an ask now carries the count, and a request that has waited 500 ms at an engine that holds its adapter chooses anew; turns go by when a request is due, so that nothing is lost.

--- a/internal/admission/gate.go
+++ b/internal/admission/gate.go
@@ -142,16 +142,9 @@
 	g.perToken += time.Duration(weight * float64(sample-g.perToken))
 }
 
-// Queue returns the number of requests that wait for their turn with their
-// adapter ready, and the time that reading their prompts takes.
-func (g *Gate) Queue() (requests int, reading time.Duration) {
-	for _, w := range g.waiting {
-		reading += g.reading(w.Tokens)
-	}
-	for _, t := range g.turns {
-		reading += g.reading(t.tokens)
-	}
-	return len(g.waiting), reading
+// Waiting returns the number of requests that wait for their turn.
+func (g *Gate) Waiting() int {
+	return len(g.waiting)
 }
 
 func (g *Gate) reading(tokens int) time.Duration {
--- a/internal/gateway/notices.go
+++ b/internal/gateway/notices.go
@@ -160,7 +160,9 @@
 		g.answerAsk(packet.From, packet.Ask.Engine, askOf(packet.Ask))
 	case packet.News != nil:
 		news := packet.News
-		g.locator.Told(orders.News{Engine: news.Engine, Ticket: news.Ticket, Status: residency.Status(news.Status)})
+		g.locator.Told(orders.News{
+			Engine: news.Engine, Ticket: news.Ticket, Status: residency.Status(news.Status), Waiting: news.Waiting,
+		})
 	case packet.Change != nil:
 		g.mirror.Inject([]mirror.Change{changeOf(packet.Change)})
 	case packet.Begun != nil:
@@ -206,7 +208,7 @@
 		g.orders.Want(engine, ask.Adapter, ask.Version)
 		return
 	}
-	status := g.orders.Ask(engine, admission.Request{
+	g.tell(entry, g.orders.Ask(engine, admission.Request{
 		Key:     admission.Key{Entry: entry, Ticket: ask.Ticket},
 		Adapter: ask.Adapter,
 		Version: ask.Version,
@@ -215,8 +217,7 @@
 		Pause:   ask.Pause,
 		Due:     ask.Due,
 		Expires: ask.Expires,
-	})
-	g.tell(entry, orders.News{Engine: engine, Ticket: ask.Ticket, Status: status})
+	}))
 }
 
 // begun tells the owner of an engine that a turn is over, or its request ended.
@@ -243,7 +244,9 @@
 	if !ok {
 		return
 	}
-	g.mesh.Send(m.Mesh, mesh.Packet{News: &mesh.News{Engine: news.Engine, Ticket: news.Ticket, Status: int(news.Status)}})
+	g.mesh.Send(m.Mesh, mesh.Packet{News: &mesh.News{
+		Engine: news.Engine, Ticket: news.Ticket, Status: int(news.Status), Waiting: news.Waiting,
+	}})
 }
 
 // askMessage and askOf carry times as distances from now, because daemons do
--- a/internal/locator/wait.go
+++ b/internal/locator/wait.go
@@ -221,6 +221,10 @@
 func (l *Locator) Told(news orders.News) {
 	key := waitKey{news.Engine, news.Ticket}
 	l.mu.Lock()
+	if v := l.views[news.Engine]; v != nil {
+		v.state.Waiting = news.Waiting
+		v.askedBefore = v.asking
+	}
 	w := l.waits[key]
 	if w != nil {
 		select {
--- a/internal/mesh/packet.go
+++ b/internal/mesh/packet.go
@@ -93,6 +93,8 @@
 	Engine string `cbor:"1,keyasint"`
 	Ticket uint64 `cbor:"2,keyasint"`
 	Status int    `cbor:"3,keyasint,omitempty"`
+	// Waiting is the number of requests that wait for their turn there.
+	Waiting int `cbor:"4,keyasint,omitempty"`
 }
 
 // Begun tells that a request's turn is over.
--- a/internal/orders/pool.go
+++ b/internal/orders/pool.go
@@ -56,6 +56,8 @@
 	Engine string
 	Ticket uint64
 	Status residency.Status
+	// Waiting is the number of requests that wait for their turn there.
+	Waiting int
 }
 
 // Assignment is an engine that this daemon is to order.
@@ -134,12 +136,12 @@
 
 // Ask takes over that a request waits for its turn at an engine, and returns
 // how it stands. Later changes are told by Config.Tell.
-func (p *Pool) Ask(engine string, request admission.Request) residency.Status {
-	w := p.worker(engine)
-	if w == nil {
-		return residency.Elsewhere
+func (p *Pool) Ask(engine string, request admission.Request) News {
+	news := News{Engine: engine, Ticket: request.Ticket, Status: residency.Elsewhere}
+	if w := p.worker(engine); w != nil {
+		news.Status, news.Waiting = w.ask(clock.Boot(), request)
 	}
-	return w.ask(clock.Boot(), request)
+	return news
 }
 
 // Want asks for an adapter at an engine for later requests.
--- a/internal/orders/worker.go
+++ b/internal/orders/worker.go
@@ -84,9 +84,16 @@
 	w.signal()
 }
 
-func (w *worker) ask(now time.Duration, request admission.Request) residency.Status {
+// ask returns how a request stands and how many wait at the engine.
+func (w *worker) ask(now time.Duration, request admission.Request) (residency.Status, int) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	status := w.answer(now, request)
+	return status, w.gate.Waiting()
+}
+
+// answer takes a request over. The caller holds mu.
+func (w *worker) answer(now time.Duration, request admission.Request) residency.Status {
 	if w.gate.Has(request.Key) {
 		return residency.Ready
 	}
@@ -159,7 +166,7 @@
 		if d.Key == answering {
 			continue
 		}
-		w.pool.config.Tell(d.Key.Entry, News{Engine: w.upstream.ID, Ticket: d.Key.Ticket, Status: d.Status})
+		w.pool.config.Tell(d.Key.Entry, News{Engine: w.upstream.ID, Ticket: d.Key.Ticket, Status: d.Status, Waiting: w.gate.Waiting()})
 	}
 }
 
@@ -185,7 +192,7 @@
 		Loads:  w.engine.Loads(),
 		Held:   w.engine.Held(),
 	}
-	state.Waiting, _ = w.gate.Queue()
+	state.Waiting = w.gate.Waiting()
 	for _, r := range w.running {
 		if now-r.at < runningSilence {
 			state.Running += r.requests
--- a/internal/relay/model.go
+++ b/internal/relay/model.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"context"
 	"errors"
 	"io"
 	"net/http"
@@ -17,6 +18,9 @@
 
 // Constants of model requests.
 const (
+	// turnPatience is how long a request waits for its turn at one engine that
+	// holds its adapter: several batches of prompts.
+	turnPatience = 500 * time.Millisecond
 	// declinedSleep is kept between two choices when an engine's owner declined.
 	declinedSleep = 30 * time.Millisecond
 	// reuseAge is how long a connection may have been idle for a request that
@@ -82,7 +86,9 @@
 	started := time.Now()
 	now := clock.Boot()
 	ticket = engines.Ticket()
-	turn := engines.Await(e.ctx, choice.Engine, locator.Ask{
+	ctx, cancel := e.turnContext(choice)
+	defer cancel()
+	turn := engines.Await(ctx, choice.Engine, locator.Ask{
 		Ticket:  ticket,
 		Adapter: e.call.Adapter,
 		Tokens:  e.call.PromptTokens,
@@ -112,6 +118,17 @@
 	}
 }
 
+// turnContext bounds the wait for a turn at an engine that holds the adapter.
+// After it the choice is made anew: another engine may hold the adapter by
+// then, or have fewer requests waiting. The order of turns goes by when a
+// request is due, so that nothing is lost if it is the same engine again.
+func (e *exchange) turnContext(choice steer.Choice) (context.Context, context.CancelFunc) {
+	if choice.Load {
+		return context.WithCancel(e.ctx)
+	}
+	return context.WithTimeout(e.ctx, turnPatience)
+}
+
 // tryEngine sends the request to an engine and passes its answer on. It
 // returns true when the request has ended.
 func (e *exchange) tryEngine(id string, ticket uint64) bool {
