--- a/internal/admission/gate.go
+++ b/internal/admission/gate.go
@@ -180,8 +180,11 @@
 }
 
 // Next drops what has expired and returns the requests that may begin, and
-// those that should go elsewhere. Status tells how an adapter stands.
-func (g *Gate) Next(now time.Duration, status func(topology.Adapter, int64) residency.Status) []Decision {
+// those that should go elsewhere. Status tells how an adapter stands, and free
+// is the number of requests that the engine can run beside those that it does:
+// beyond it, requests would wait there and preempt each other, which reads
+// prompts again.
+func (g *Gate) Next(now time.Duration, free int, status func(topology.Adapter, int64) residency.Status) []Decision {
 	g.expire(now)
 	var decisions []Decision
 	var ready []*waiting
@@ -197,7 +200,7 @@
 	if len(g.turns) > 0 || now < g.ended+breath {
 		return decisions
 	}
-	for len(ready) > 0 {
+	for ; len(ready) > 0 && free > 0; free-- {
 		i := g.pick(now, ready)
 		if !g.fits(ready[i].Request) {
 			break
--- a/internal/admission/load_test.go
+++ b/internal/admission/load_test.go
@@ -17,6 +17,7 @@
 	readPerMS      = 19.1 // prompt tokens
 	chunkTokens    = 4096
 	tokensPerEvent = 3
+	slots          = 64
 	pauseObjective = 300 * time.Millisecond
 	firstObjective = time.Second
 )
@@ -89,7 +90,7 @@
 		for key, s := range pending {
 			gate.Ask(now, Request{Key: key, Tokens: s.unread, Pause: pauseObjective, Due: s.arrived + firstObjective, Expires: s.arrived + time.Hour})
 		}
-		for _, d := range gate.Next(now, ready) {
+		for _, d := range gate.Next(now, slots-len(running), ready) {
 			running = append(running, pending[d.Key])
 			delete(pending, d.Key)
 		}
@@ -232,7 +233,7 @@
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			decisions := gateWith(test.requests...).Next(breath, ready)
+			decisions := gateWith(test.requests...).Next(breath, slots, ready)
 			if got := tickets(decisions, residency.Ready); !slices.Equal(got, test.begin) {
 				t.Errorf("began %v, want %v", got, test.begin)
 			}
@@ -246,30 +247,43 @@
 func TestTurnsEnd(t *testing.T) {
 	ready := func(topology.Adapter, int64) residency.Status { return residency.Ready }
 	g := gateWith(Request{Tokens: 3000, Due: time.Second}, Request{Tokens: 3000, Due: 2 * time.Second})
-	if got := tickets(g.Next(breath, ready), residency.Ready); !slices.Equal(got, []uint64{1}) {
+	if got := tickets(g.Next(breath, slots, ready), residency.Ready); !slices.Equal(got, []uint64{1}) {
 		t.Fatalf("began %v", got)
 	}
-	if got := g.Next(2*breath, ready); len(got) != 0 {
+	if got := g.Next(2*breath, slots, ready); len(got) != 0 {
 		t.Fatalf("another turn before the first one's end: %v", got)
 	}
 	g.Begun(3*breath, Key{Ticket: 1})
-	if got := g.Next(3*breath, ready); len(got) != 0 {
+	if got := g.Next(3*breath, slots, ready); len(got) != 0 {
 		t.Errorf("the next turn began without a pause: %v", got)
 	}
-	if got := tickets(g.Next(4*breath, ready), residency.Ready); !slices.Equal(got, []uint64{2}) {
+	if got := tickets(g.Next(4*breath, slots, ready), residency.Ready); !slices.Equal(got, []uint64{2}) {
 		t.Errorf("after the pause began %v", got)
 	}
 }
 
+// Requests beyond the engine's slots wait here, where the most urgent is next,
+// and not at the engine, where they would preempt each other.
+func TestTurnsStayWithinTheSlots(t *testing.T) {
+	ready := func(topology.Adapter, int64) residency.Status { return residency.Ready }
+	g := gateWith(Request{Tokens: 10, Due: time.Second}, Request{Tokens: 10, Due: time.Second}, Request{Tokens: 10, Due: time.Second})
+	if got := g.Next(breath, 2, ready); len(got) != 2 {
+		t.Errorf("%d requests began with two free slots", len(got))
+	}
+	if got := gateWith(Request{Tokens: 10}).Next(breath, 0, ready); len(got) != 0 {
+		t.Errorf("%d requests began without a free slot", len(got))
+	}
+}
+
 // A daemon that dies with a turn must not stop the engine for good.
 func TestLostTurnEndsByItself(t *testing.T) {
 	ready := func(topology.Adapter, int64) residency.Status { return residency.Ready }
 	g := gateWith(Request{Tokens: 3000, Due: time.Second})
-	g.Next(breath, ready)
+	g.Next(breath, slots, ready)
 	late := breath + g.Wait(breath) + time.Millisecond
 	g.Ask(late, Request{Key: Key{Ticket: 9}, Tokens: 3000, Due: late + time.Second, Expires: time.Hour})
-	g.Next(late, ready)
-	if got := tickets(g.Next(late+breath, ready), residency.Ready); !slices.Equal(got, []uint64{9}) {
+	g.Next(late, slots, ready)
+	if got := tickets(g.Next(late+breath, slots, ready), residency.Ready); !slices.Equal(got, []uint64{9}) {
 		t.Errorf("after a lost turn began %v, want the waiting request", got)
 	}
 }
@@ -284,7 +298,7 @@
 		now += time.Second
 		g.Ask(now, Request{Key: old, Tokens: 3000, Due: 0, Expires: time.Hour})
 		g.Ask(now, Request{Key: Key{Ticket: n + 1}, Tokens: 3000, Due: now + time.Second, Expires: time.Hour})
-		for _, d := range g.Next(now, ready) {
+		for _, d := range g.Next(now, slots, ready) {
 			if d.Key == old {
 				return
 			}
--- a/internal/orders/worker.go
+++ b/internal/orders/worker.go
@@ -159,7 +159,8 @@
 // decide hands out turns and tells the entries, but for the request that is
 // just being answered. The caller holds mu; telling does no I/O that blocks.
 func (w *worker) decide(now time.Duration, answering admission.Key) {
-	for _, d := range w.gate.Next(now, w.status) {
+	free := w.upstream.Slots - w.engine.Running()
+	for _, d := range w.gate.Next(now, free, w.status) {
 		if d.Status == residency.Ready {
 			w.engine.Granted(now, d.Key.Entry, d.Key.Ticket, d.Adapter)
 		}
--- a/internal/residency/engine.go
+++ b/internal/residency/engine.go
@@ -303,6 +303,18 @@
 	return p.uses * halve(now-p.agedAt)
 }
 
+// Running returns the number of requests that run at the engine, as far as it
+// is known here.
+func (e *Engine) Running() int {
+	total := len(e.granted)
+	for _, running := range e.running {
+		for _, n := range running {
+			total += n
+		}
+	}
+	return total
+}
+
 // Status is what an entry is told about an adapter that it asked for.
 type Status int
 
--- a/internal/steer/engine.go
+++ b/internal/steer/engine.go
@@ -193,10 +193,15 @@
 	if best.Queued < spreadQueue {
 		return ""
 	}
-	for _, e := range order(adapter, engines) {
+	var free []Engine
+	for _, e := range engines {
 		if !e.Holds && !e.Orderless && e.Loads < longLoads && e.load()+spreadGain <= best.load() {
-			return e.ID
+			free = append(free, e)
 		}
 	}
+	// The first in the adapter's order, so that all entries choose alike.
+	for _, e := range order(adapter, free) {
+		return e.ID
+	}
 	return ""
 }
--- a/internal/steer/steer_test.go
+++ b/internal/steer/steer_test.go
@@ -73,6 +73,31 @@
 	}
 }
 
+// The load of a large fleet with few slots: one adapter needs more engines than
+// the first few of its order.
+func TestHotAdapterIsSpreadAsFarAsItsLoadNeeds(t *testing.T) {
+	const wanted = 12
+	engines := fleet(40)
+	for range wanted {
+		choice, _ := Pick(hot, engines)
+		for i := range engines {
+			if engines[i].ID == choice.Engine && choice.Load || engines[i].ID == choice.Spread {
+				engines[i].Holds = true
+				engines[i].Queued = spreadQueue
+			}
+		}
+	}
+	holders := 0
+	for _, e := range engines {
+		if e.Holds {
+			holders++
+		}
+	}
+	if holders < wanted {
+		t.Errorf("the adapter came to %d engines, want %d", holders, wanted)
+	}
+}
+
 func TestPickReplica(t *testing.T) {
 	tests := []struct {
 		name     string
