relay: refuse a request that can't begin in time, and rest longer between refusals

Cause, from the log of one id: an entry asked four engines 30 times in 4 s for an adapter that none could take, until its caller left without an answer. A request that was not sent within 0.65 of the time after which callers leave is now refused as not run, with the time to come back; the rest between choices doubles to 240 ms, which also bounds the log.

--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -41,6 +41,8 @@
 	turnEngine string
 	turnTicket uint64
 	turnOver   bool
+	// declined counts the engines that could not take the request.
+	declined int
 	// waited is the time spent on waiting for adapters and turns.
 	waited time.Duration
 	// headSent tells that the caller has got the head of an answer.
--- a/internal/relay/model.go
+++ b/internal/relay/model.go
@@ -21,8 +21,19 @@
 	// turnPatience is how long a request waits for its turn at one engine that
 	// holds its adapter: several batches of prompts.
 	turnPatience = 500 * time.Millisecond
-	// declinedSleep is kept between two choices when an engine's owner declined.
-	declinedSleep = 30 * time.Millisecond
+	// declinedSleep is kept between two choices when an engine's owner declined;
+	// it doubles up to maxDeclinedSleep.
+	declinedSleep    = 30 * time.Millisecond
+	maxDeclinedSleep = 240 * time.Millisecond
+	// beginShare is the part of a caller's patience for the first event after
+	// which a request that was not sent yet is refused: its caller learns when
+	// to come back, in place of leaving without an answer.
+	beginShare = 0.65
+	// Callers leave a stream without its first event after the longest of
+	// these: a fixed time, and multiples of the route's objectives.
+	leastFirstPatience    = 2 * time.Second
+	objectivesUntilLeft   = 4
+	pauseObjectivesToLeft = 8
 	// reuseAge is how long a connection may have been idle for a request that
 	// may be repeated.
 	reuseAge = 10 * time.Second
@@ -42,6 +53,10 @@
 // serveModel sends the request to engines until one has answered it.
 func (e *exchange) serveModel() {
 	for !e.over() {
+		if e.sends == 0 && time.Now().After(e.beginBy()) {
+			e.giveUp(http.StatusBadGateway, retryAfterBusy, "the request could not begin in time")
+			return
+		}
 		choice, ok := e.pickEngine()
 		if !ok {
 			e.giveUp(http.StatusBadGateway, retryAfterBusy, "no engine can take the request")
@@ -97,8 +112,8 @@
 		Due:     now + e.route.Objective - time.Since(e.arrived),
 		Expires: now + e.timeLeft(),
 	})
-	if turn == locator.Declined {
-		clock.Sleep(e.ctx, declinedSleep)
+	if turn == locator.Declined || turn == locator.Unowned && choice.Load {
+		e.rest()
 	}
 	waited := time.Since(started)
 	e.waited += waited
@@ -109,24 +124,37 @@
 	case locator.Begin:
 		return ticket, true
 	case locator.Unowned:
-		if choice.Load {
-			clock.Sleep(e.ctx, declinedSleep)
-		}
 		return 0, !choice.Load
 	default:
 		return 0, false
 	}
 }
 
-// turnContext bounds the wait for a turn at an engine that holds the adapter.
-// After it the choice is made anew: another engine may hold the adapter by
-// then, or have fewer requests waiting. The order of turns goes by when a
-// request is due, so that nothing is lost if it is the same engine again.
+// rest is kept before the next choice when an engine can't take the request.
+func (e *exchange) rest() {
+	clock.Sleep(e.ctx, min(declinedSleep<<min(e.declined, 10), maxDeclinedSleep))
+	e.declined++
+}
+
+// beginBy is when the request must have been sent.
+func (e *exchange) beginBy() time.Time {
+	patience := max(leastFirstPatience, objectivesUntilLeft*e.route.Objective, pauseObjectivesToLeft*e.route.PauseObjective)
+	return e.arrived.Add(time.Duration(beginShare * float64(patience)))
+}
+
+// turnContext bounds the wait for a turn. At an engine that holds the adapter
+// the choice is made anew after turnPatience: another engine may hold the
+// adapter by then, or have fewer requests waiting. The order of turns goes by
+// when a request is due, so nothing is lost if it is the same engine again.
 func (e *exchange) turnContext(choice steer.Choice) (context.Context, context.CancelFunc) {
-	if choice.Load {
-		return context.WithCancel(e.ctx)
+	deadline := e.deadline
+	if e.sends == 0 {
+		deadline = e.beginBy()
+	}
+	if again := time.Now().Add(turnPatience); !choice.Load && again.Before(deadline) {
+		deadline = again
 	}
-	return context.WithTimeout(e.ctx, turnPatience)
+	return context.WithDeadline(e.ctx, deadline)
 }
 
 // tryEngine sends the request to an engine and passes its answer on. It
