--- a/internal/fleet/keeper.go
+++ b/internal/fleet/keeper.go
@@ -200,6 +200,18 @@
 	return token, everHeld && k.config.Unreachable()
 }
 
+// InTouch reports whether this daemon has just reached the service.
+func (k *Keeper) InTouch() bool {
+	k.mu.RLock()
+	defer k.mu.RUnlock()
+	return k.inTouch()
+}
+
+// inTouch is InTouch for a caller that holds mu.
+func (k *Keeper) inTouch() bool {
+	return k.renewed && k.config.Now()-k.contact < inTouchFor
+}
+
 // OwnedBy lists the engines that a process of a member orders.
 func (k *Keeper) OwnedBy(member string, boot int64) []string {
 	k.mu.RLock()
@@ -330,7 +342,7 @@
 func (k *Keeper) dueClaims() []Claim {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if k.announced == 0 || k.table.Revision() < k.announced {
+	if k.announced == 0 || k.table.Revision() < k.announced || !k.inTouch() {
 		return nil
 	}
 	return k.table.Claims(k.config.Now(), k.config.Ordering)
--- a/internal/fleet/table.go
+++ b/internal/fleet/table.go
@@ -116,7 +116,6 @@
 
 func (t *Table) applyRecord(now time.Duration, id string, change mirror.Change) {
 	e := t.engine(id)
-	former := e.record
 	e.record = record{}
 	e.revision = 0
 	e.pending = false
@@ -128,16 +127,18 @@
 	if json.Unmarshal(change.Entry.Value, &e.record) != nil {
 		e.record = record{}
 	}
-	if !t.mine(e) {
-		return
-	}
-	e.quietFrom = now
-	if former.Member == "" || former.Member == t.self.Name {
-		return
-	}
-	e.quietFrom = now + t.timing.Quiet
-	if !t.members[former.Member].Draining {
-		e.quietFrom += lostSlack
+	e.quietFrom = now + t.quiet(e.record)
+}
+
+// quiet is how long a daemon waits after the sight of its claim.
+func (t *Table) quiet(r record) time.Duration {
+	switch {
+	case r.After == "":
+		return 0
+	case r.Lost:
+		return t.timing.Quiet + lostSlack
+	default:
+		return t.timing.Quiet
 	}
 }
 
@@ -276,7 +277,8 @@
 		return t.mine(e) && now-e.changed > t.timing.LeaseTTL
 	}
 	if t.mine(e) {
-		return false
+		// The quiet time is over: the record need not tell of it any more.
+		return e.After != "" && now >= e.quietFrom
 	}
 	if e.Member == t.self.Name {
 		return true
@@ -362,7 +364,7 @@
 			txn.Then = append(txn.Then, infra.Delete(key))
 			continue
 		}
-		txn.Then = append(txn.Then, infra.Put(key, encode(record{Member: t.self.Name, Boot: t.self.Boot})))
+		txn.Then = append(txn.Then, infra.Put(key, encode(t.claimed(e))))
 		if e.Member != "" && e.Member != t.self.Name {
 			former := t.prefix + memberKeys + e.Member
 			conditions[former] = infra.Absent(former)
@@ -377,6 +379,19 @@
 	return Claim{Engines: ids, Txn: txn}
 }
 
+// claimed is the record of a claim.
+func (t *Table) claimed(e *engine) record {
+	r := record{Member: t.self.Name, Boot: t.self.Boot}
+	switch {
+	case t.mine(e):
+	case e.Member == t.self.Name:
+		r.After, r.Lost = e.After, e.Lost
+	case e.Member != "":
+		r.After, r.Lost = e.Member, !t.members[e.Member].Draining
+	}
+	return r
+}
+
 // Settled takes over that a claim's result is known, or that it may never be.
 // The record itself comes by Apply.
 func (t *Table) Settled(claim Claim) {
--- a/internal/fleet/table_test.go
+++ b/internal/fleet/table_test.go
@@ -57,6 +57,52 @@
 	return 0, false
 }
 
+// acceptClaims lets the claims of a moment take effect.
+func (s *script) acceptClaims(at time.Duration, ordering func(string) bool) {
+	for _, e := range s.table.engines {
+		e.pending, e.tried = false, false
+	}
+	for _, claim := range s.table.Claims(at, ordering) {
+		for _, op := range claim.Txn.Then {
+			s.change(at, mirror.Change{Entry: infra.Entry{Key: op.Key, Value: op.Value}, Deleted: op.Kind == infra.OpDelete})
+		}
+	}
+}
+
+// A daemon that is restarted in the quiet time after a take-over must not
+// order at once: to the engine another holder has just given orders. Found by
+// the soak, seed 28.
+func TestRestartWithinTheQuietTimeBeginsItAnew(t *testing.T) {
+	const taken = 10 * time.Second
+	s := newScript("vm-a", 1)
+	s.member(0, Member{Name: "vm-a", Boot: 1})
+	s.member(0, Member{Name: "vm-b", Boot: 1, Draining: true})
+	s.put(0, "engines/e", record{Member: "vm-b", Boot: 1})
+	s.table.SetEngines(0, []string{"e"})
+	s.acceptClaims(taken, nobody)
+
+	again := newScript("vm-a", 2)
+	again.revision = s.revision
+	const restarted = time.Second
+	again.put(restarted, "engines/e", s.table.engines["e"].record)
+	again.table.SetEngines(restarted, []string{"e"})
+	again.acceptClaims(restarted, nobody)
+	if _, ok := again.table.MayOrder(restarted+testTiming.Quiet-time.Millisecond, "e"); ok {
+		t.Error("the restarted daemon orders within the quiet time")
+	}
+	over := restarted + testTiming.Quiet
+	if _, ok := again.table.MayOrder(over, "e"); !ok {
+		t.Error("the restarted daemon does not order after the quiet time")
+	}
+	again.acceptClaims(over, nobody)
+	if after := again.table.engines["e"].After; after != "" {
+		t.Errorf("the record still tells of %q after the quiet time", after)
+	}
+	if _, ok := again.table.MayOrder(over, "e"); !ok {
+		t.Error("the change of the record took the right to order away")
+	}
+}
+
 func TestRestartedDaemonGoesOnAtOnce(t *testing.T) {
 	s := newScript("vm-a", 2)
 	s.put(0, "engines/e", record{Member: "vm-a", Boot: 1})
@@ -65,7 +111,7 @@
 	if len(claims) != 1 {
 		t.Fatalf("%d claims of the daemon's own engine, want 1 at once", len(claims))
 	}
-	s.put(time.Millisecond, "engines/e", record{Member: "vm-a", Boot: 2})
+	s.acceptClaims(time.Millisecond, nobody)
 	if token, ok := s.table.MayOrder(time.Millisecond, "e"); !ok || token != Token(s.revision) {
 		t.Errorf("token %d, allowed %t; want to go on under the new revision %d", token, ok, s.revision)
 	}
@@ -107,7 +153,7 @@
 			if test.gone && at < lost+settleDelay {
 				t.Errorf("claimed %v after the key was lost, want at least %v", at-lost, settleDelay)
 			}
-			s.put(at, "engines/e", record{Member: "vm-a", Boot: 1})
+			s.acceptClaims(at, func(string) bool { return test.orders })
 			if _, ok := s.table.MayOrder(at+test.quiet-time.Millisecond, "e"); ok {
 				t.Errorf("may order before %v have passed", test.quiet)
 			}
--- a/internal/fleet/types.go
+++ b/internal/fleet/types.go
@@ -32,6 +32,11 @@
 	// Member is the VM whose daemon orders the engine.
 	Member string `json:"member"`
 	Boot   int64  `json:"boot"`
+	// After is the VM whose daemon ordered the engine before, until the quiet
+	// time after it is known to be over: a restart meanwhile begins it anew.
+	After string `json:"after,omitempty"`
+	// Lost tells that that daemon did not announce its end.
+	Lost bool `json:"lost,omitempty"`
 }
 
 // Token is a fencing token: the revision of an engine's key.
@@ -65,6 +70,11 @@
 	// daemon gives orders. The service may drop keys at the moment at which it
 	// stops answering, so this does not rest on the lease's time to live.
 	validFor = 1800 * time.Millisecond
+	// inTouchFor is how long after the sending of its last successful renewal a
+	// daemon counts itself as reaching the service, and makes claims. It is
+	// shorter than validFor, so that in an outage all daemons have said so
+	// before their own right to order ends.
+	inTouchFor = 1300 * time.Millisecond
 	// vouchedFor is how long a daemon gives orders after the sending of a
 	// notice of which another one, in touch with the service, said that the
 	// engine was still this daemon's afterwards.
--- a/internal/gateway/notices.go
+++ b/internal/gateway/notices.go
@@ -121,7 +121,7 @@
 			continue
 		}
 		notice := &mesh.Notice{
-			StoreDown: g.storeDown.Load(),
+			StoreDown: g.outOfTouch(),
 			Draining:  g.draining.Load(),
 			Stamp:     int64(clock.Boot()),
 			Orders:    orders,
@@ -274,10 +274,16 @@
 	}
 }
 
+// outOfTouch reports whether this daemon does not reach the key-value service.
+// The watch tells late when the service falls silent, the renewals soon.
+func (g *Gateway) outOfTouch() bool {
+	return g.storeDown.Load() || !g.keeper.InTouch()
+}
+
 // storeUnreachable reports whether all other daemons have just said that they
 // can't reach the key-value service, and this one can't either.
 func (g *Gateway) storeUnreachable() bool {
-	if !g.storeDown.Load() {
+	if !g.outOfTouch() {
 		return false
 	}
 	now := clock.Boot()
