--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -131,6 +131,9 @@
 const (
 	// retryAfterTimeout follows a request for which there was no time left.
 	retryAfterTimeout = time.Second
+	// retryAfterLate follows a request that could not begin in time: its
+	// adapter waits for a load or a place, which takes about a second.
+	retryAfterLate = time.Second
 	// retryAfterBusy follows a request that no upstream could take at once.
 	retryAfterBusy = 400 * time.Millisecond
 	// retryAfterBudget follows a request that must not be sent again now.
--- a/internal/relay/model.go
+++ b/internal/relay/model.go
@@ -54,7 +54,7 @@
 func (e *exchange) serveModel() {
 	for !e.over() {
 		if e.sends == 0 && time.Now().After(e.beginBy()) {
-			e.giveUp(http.StatusBadGateway, retryAfterBusy, "the request could not begin in time")
+			e.giveUp(http.StatusBadGateway, retryAfterLate, "the request could not begin in time")
 			return
 		}
 		choice, ok := e.pickEngine()
