--- a/internal/fleet/keeper.go
+++ b/internal/fleet/keeper.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"log/slog"
+	"slices"
 	"sync"
 	"time"
 
@@ -99,26 +100,17 @@
 
 func (k *Keeper) logOwnership(before, after []string) {
 	for _, id := range after {
-		if !containsID(before, id) {
+		if !slices.Contains(before, id) {
 			k.log.Info("engine gained", "engine", id)
 		}
 	}
 	for _, id := range before {
-		if !containsID(after, id) {
+		if !slices.Contains(after, id) {
 			k.log.Info("engine lost", "engine", id)
 		}
 	}
 }
 
-func containsID(ids []string, id string) bool {
-	for _, other := range ids {
-		if other == id {
-			return true
-		}
-	}
-	return false
-}
-
 // SetEngines replaces the set of engines that are to be ordered.
 func (k *Keeper) SetEngines(ids []string) {
 	k.mu.Lock()
--- a/internal/locator/locator.go
+++ b/internal/locator/locator.go
@@ -4,6 +4,7 @@
 	"errors"
 	"log/slog"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -129,7 +130,7 @@
 	needed, allowed := l.versions[adapter].at(now)
 	list := make([]steer.Engine, 0, len(l.services[service]))
 	for id, v := range l.services[service] {
-		if v.upstream.Leaving || containsString(tried, id) || !v.holdsModel(adapter.Model) {
+		if v.upstream.Leaving || slices.Contains(tried, id) || !v.holdsModel(adapter.Model) {
 			continue
 		}
 		version, held := v.held[adapter]
@@ -155,7 +156,7 @@
 	defer l.mu.Unlock()
 	list := make([]steer.Replica, 0, len(l.services[service]))
 	for id, v := range l.services[service] {
-		if v.upstream.Leaving || containsString(tried, id) {
+		if v.upstream.Leaving || slices.Contains(tried, id) {
 			continue
 		}
 		failures := v.failures.get(now)
@@ -280,12 +281,3 @@
 	}
 	return list
 }
-
-func containsString(list []string, s string) bool {
-	for _, other := range list {
-		if other == s {
-			return true
-		}
-	}
-	return false
-}
