--- a/internal/fleet/keeper.go
+++ b/internal/fleet/keeper.go
@@ -378,7 +378,6 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.table.self.Draining = draining
-	k.table.stopped = draining
 }
 
 func (k *Keeper) announceEnd(ctx context.Context) error {
--- a/internal/fleet/table.go
+++ b/internal/fleet/table.go
@@ -39,11 +39,9 @@
 // Table holds the members and the engines' records. It does no I/O and is not
 // safe for concurrent use. Times are readings of clock.Boot.
 type Table struct {
-	prefix string
-	self   Member
-	timing Timing
-	// stopped tells that this daemon gives no orders any more.
-	stopped bool
+	prefix  string
+	self    Member
+	timing  Timing
 	members map[string]seenMember
 	// lost maps absent members to when they were first found absent, and
 	// former to what they had announced.
@@ -216,7 +214,7 @@
 // them now, given that its lease is valid.
 func (t *Table) MayOrder(now time.Duration, id string) (Token, bool) {
 	e := t.engines[id]
-	if e == nil || !t.mine(e) || t.stopped || now < e.quietFrom {
+	if e == nil || !t.mine(e) || t.self.Draining || now < e.quietFrom {
 		return 0, false
 	}
 	return Token(e.revision), true
--- a/internal/gateway/apply.go
+++ b/internal/gateway/apply.go
@@ -218,7 +218,6 @@
 	return residency.Spec{
 		Capacity:  spec.AdapterCapacity([]string{model.Name}),
 		Model:     model.Name,
-		ModelLoad: model.LoadTime,
 		ModelFrom: seen + residency.ModelDelay(u.ID, engines, spec.LoadsPerSecond),
 	}
 }
--- a/internal/hop/pool.go
+++ b/internal/hop/pool.go
@@ -39,7 +39,6 @@
 type Pool struct {
 	address netip.AddrPort
 	limit   atomic.Int64
-	opened  atomic.Int64
 
 	// mu guards the fields below; it is not held during I/O.
 	mu     sync.Mutex
@@ -63,11 +62,6 @@
 	p.limit.Store(int64(limit))
 }
 
-// Opened returns the number of connections that were opened so far.
-func (p *Pool) Opened() int64 {
-	return p.opened.Load()
-}
-
 // Close closes the idle connections; those in use are closed after their exchange.
 func (p *Pool) Close() {
 	p.mu.Lock()
@@ -149,7 +143,6 @@
 
 func (p *Pool) dial(ctx context.Context) (*conn, error) {
 	dialer := net.Dialer{Timeout: connectTimeout, KeepAliveConfig: KeepAlive, Control: Control}
-	p.opened.Add(1)
 	raw, err := dialer.DialContext(ctx, "tcp4", p.address.String())
 	if err != nil {
 		p.released()
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -160,10 +160,15 @@
 	e.relay.config.Protocol.Refuse(e.w, e.call, status, 0, reason)
 }
 
+// mayRunAgain reports whether the route allows the request to run once more.
+func (e *exchange) mayRunAgain() bool {
+	return e.runs == 0 || e.route.Idempotent() && e.runs < e.route.MaxAttempts
+}
+
 // mayRepeat reports whether the request may be sent once more, and draws on
 // the budget if bytes of it have reached an upstream before.
 func (e *exchange) mayRepeat(reason string) bool {
-	if e.runs > 0 && (!e.route.Idempotent() || e.runs >= e.route.MaxAttempts) {
+	if !e.mayRunAgain() {
 		return false
 	}
 	if e.sends == 0 {
--- a/internal/relay/model.go
+++ b/internal/relay/model.go
@@ -236,7 +236,7 @@
 	e.relay.config.Locator.Failed(id)
 	e.tried = append(e.tried, id)
 	e.reason = ""
-	if e.runs > 0 && (!e.route.Idempotent() || e.runs >= e.route.MaxAttempts) {
+	if !e.mayRunAgain() {
 		e.giveUp(http.StatusBadGateway, 0, "the upstream did not answer: "+result.err.Error())
 		return true
 	}
@@ -290,7 +290,7 @@
 	if result.response.StatusCode >= 500 {
 		e.relay.config.Locator.Failed(upstream.ID)
 	}
-	again := result.response.StatusCode >= 500 && e.route.Idempotent() && e.runs < e.route.MaxAttempts
+	again := result.response.StatusCode >= 500 && e.mayRunAgain()
 	if again || e.headSent {
 		e.relay.log.Info("engine failed a request", "id", e.call.ID, "upstream", upstream.ID, "status", result.response.StatusCode)
 		e.tried = append(e.tried, upstream.ID)
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -118,7 +118,7 @@
 	e.relay.log.Info("stream broke off", "id", e.call.ID, "upstream", upstream.ID, "events", e.events, "last_event", e.lastEvent, "error", err)
 	engines.Failed(upstream.ID)
 	e.tried = append(e.tried, upstream.ID)
-	if !e.route.Idempotent() || e.runs >= e.route.MaxAttempts {
+	if !e.mayRunAgain() {
 		e.giveUp(http.StatusBadGateway, 0, "the engine broke the stream off")
 		return true
 	}
--- a/internal/residency/engine.go
+++ b/internal/residency/engine.go
@@ -96,8 +96,6 @@
 	Capacity int
 	// Model is the base model that the engine is to hold.
 	Model string
-	// ModelLoad is the time to load the base model.
-	ModelLoad time.Duration
 	// ModelFrom is when a load of the base model may be ordered.
 	ModelFrom time.Duration
 }
--- a/internal/residency/result.go
+++ b/internal/residency/result.go
@@ -54,12 +54,8 @@
 
 func (e *Engine) carriedOut(now time.Duration, order Order, result Result) {
 	held := e.places[order.Adapter]
-	if result == Done && order.Kind == LoadAdapter {
-		// The engine holds the adapter already, contrary to the state here.
-		e.known = false
-		return
-	}
-	if result == Done && order.Kind == LoadModel {
+	if result == Done && order.Kind != UnloadAdapter {
+		// The engine holds it already, contrary to the state here.
 		e.known = false
 		return
 	}
