claim: a lost shard is not taken for an outage

A caller of a keyed call was told not_run (platform_unavailable) when the lease of the claim's owner had lapsed, though another daemon took the shard over well within the caller's tolerance.

Cause: between the loss of the shard and the stop of its worker the owner answered as if the key-value service were down, and the entry does not ask again after that.

Change: an owner without the shard's token answers not_owner, after which the entry asks the next owner. Test first (TestLostShardIsNotTakenForAnOutage). The matrix prints status and body of a wrong answer.

--- a/internal/claim/pool_test.go
+++ b/internal/claim/pool_test.go
@@ -209,6 +209,16 @@
 	})
 }
 
+// A daemon that has learned of the loss of its shard before the shard is
+// stopped sends the call on to the next owner: the service itself is up.
+func TestLostShardIsNotTakenForAnOutage(t *testing.T) {
+	inWorld(t, func(t *testing.T, w *world, owner, _ *daemon, shard string) {
+		owner.view.set(shard, 0)
+		w.expect(t, owner, "x", call.NotRun, call.CodeNotOwner)
+		w.expectExecutions(t, 0)
+	})
+}
+
 // TestOutcomeIsWrittenAfterAnOutage also shows that a drain waits for it.
 func TestOutcomeIsWrittenAfterAnOutage(t *testing.T) {
 	inWorld(t, func(t *testing.T, w *world, owner, other *daemon, shard string) {
--- a/internal/claim/shard.go
+++ b/internal/claim/shard.go
@@ -135,12 +135,16 @@
 // because the decision and the pending claim must be one step.
 func (s *shard) admit(id ID, keyed call.Keyed, draining bool) (*flight, call.Result) {
 	retention, known := s.pool.config.retention(keyed.Route)
+	token, valid := s.holding()
 	switch {
 	case draining:
 		return nil, notRun(call.CodeDraining, "this daemon is draining", retryAfterOwner)
 	case !known:
 		return nil, notRun(call.CodeStale, "the owner does not know the route yet", retryAfterOwner)
-	case !s.holds():
+	case token != s.token:
+		// The shard is about to be stopped; another daemon owns it or soon will.
+		return nil, notOwner()
+	case !valid:
 		return nil, notRun(call.CodePlatformDown, "the owner's lease is not known to be valid", retryAfterPlatform)
 	case s.flightBytes+len(keyed.Body) > maxFlightBytes || len(s.flights) >= maxFlights:
 		return nil, notRun(call.CodeLimit, "too many calls are under way at the shard", retryAfterOwner)
@@ -158,10 +162,16 @@
 
 // holds reports whether this daemon owns the shard under a valid lease.
 func (s *shard) holds() bool {
-	token, valid := s.pool.config.View.Holds(ownership.KindClaim, s.number)
+	token, valid := s.holding()
 	return valid && token == s.token
 }
 
+// holding returns the token under which this daemon owns the shard, 0 if it
+// does not, and whether its lease is valid.
+func (s *shard) holding() (token ownership.Token, valid bool) {
+	return s.pool.config.View.Holds(ownership.KindClaim, s.number)
+}
+
 // count changes the number of calls under way and outcomes to be written.
 func (s *shard) count(n int) {
 	s.work.add(n)
--- a/internal/promise/faults_test.go
+++ b/internal/promise/faults_test.go
@@ -354,7 +354,7 @@
 				w := newWorld(t, f)
 				answer := s.run(w, f)
 				if may := allowed(f, s); !slices.Contains(may, answer.outcome) || (answer.err != nil) != (answer.outcome == lost) {
-					t.Errorf("the caller was told %q (%v), want %v", answer.outcome, answer.err, may)
+					t.Errorf("the caller was told %q (%v), status %d, %q, want %v", answer.outcome, answer.err, answer.status, answer.text, may)
 				}
 				noViolations(t, w.Cluster)
 			})
