residency: loads without an answer fit into the slots; orders undone by strangers are given again

Loads without an answer are now never more than the slots. -: a late order of an earlier process undid a replacement that was under way, and the engine was waited for without end; for an unload all orders to the engine would have stopped. When a report counts orders that this daemon did not give, the report alone decides what is under way. -: the test's own end was a number of steps, which may be 0.8 s long, less than the 13 s for which a place is kept free. It is now a time: that bound and 5 s, where it was some 48 s on average.

--- a/internal/residency/engine_test.go
+++ b/internal/residency/engine_test.go
@@ -139,12 +139,14 @@
 		e.Restarted(1)
 		now := time.Duration(0)
 		faults := true
-		step := func() {
-			now += time.Duration(rapid.IntRange(1, 120).Draw(t, "ms")) * time.Millisecond
+		advance := func(by time.Duration) {
+			now += by
 			m.advance(now)
 			m.reports = append(m.reports, m.report())
 			drive(t, m, e, now, faults)
 		}
+		step := func() { advance(time.Duration(rapid.IntRange(1, 120).Draw(t, "ms")) * time.Millisecond) }
+		calmStep := func() { advance(60 * time.Millisecond) }
 		for range rapid.IntRange(10, 120).Draw(t, "steps") {
 			if rapid.IntRange(0, 3).Draw(t, "want") == 0 {
 				e.Want(now, adapter(rapid.IntRange(0, 9).Draw(t, "adapter")), int64(rapid.IntRange(0, 2).Draw(t, "version")), 1)
@@ -156,7 +158,8 @@
 		}
 		faults = false
 		wanted := adapter(0)
-		for range 800 { // beyond lateFor, after which all places are used again
+		// After lateFor all places are used again; the rest covers some loads.
+		for deadline := now + lateFor + 5*time.Second; now < deadline; {
 			e.Want(now, wanted, 2, 1)
 			if e.Status(wanted, 2) == Ready {
 				if m.held[wanted] >= 2 {
@@ -166,7 +169,7 @@
 				// nobody has told of yet.
 				e.Doubt(now, wanted)
 			}
-			step()
+			calmStep()
 		}
 		t.Fatalf("the adapter is not ready long after the last fault")
 	})
@@ -209,6 +212,56 @@
 	}
 }
 
+// Loads without an answer may all be carried out by the engine's next process,
+// if its count happens to meet their preconditions. They never are more than
+// the slots.
+func TestLoadsWithoutAnAnswerFitIntoTheSlots(t *testing.T) {
+	e := known(1, 1)
+	e.Want(0, adapter(0), 2, 1)
+	first := *e.Next(0).Order
+	e.Ordered(0, first, Unanswered)
+	now := unansweredPause
+	if again := e.Next(now).Order; again == nil || *again != first {
+		t.Fatalf("next is %+v, want the same order again, which voids the first", again)
+	}
+	// The engine did carry it out, and has room for the next.
+	e.Ordered(now, first, Conflict)
+	now += conflictPause
+	e.Reported(now, topology.EngineReport{Born: 1, Orders: 1, Models: []topology.HeldModel{{Name: "m",
+		Adapters: []topology.HeldAdapter{{Name: adapter(0).Name, Version: 2}}}}})
+	e.Want(now, adapter(0), 3, 1)
+	if second := e.Next(now).Order; second != nil {
+		t.Errorf("ordered %+v beside a load without an answer", second)
+	}
+	now = lateFor + time.Second
+	e.Want(now, adapter(0), 3, 1)
+	if second := e.Next(now).Order; second == nil {
+		t.Error("nothing is ordered after the first load's time")
+	}
+}
+
+// A late order of an earlier process may undo a replacement or an unload that
+// is under way. The engine must not be waited for any longer then.
+func TestOrdersUndoneByAStrangerAreGivenAgain(t *testing.T) {
+	for _, order := range []Order{
+		{Kind: LoadAdapter, Adapter: adapter(0), Version: 2},
+		{Kind: UnloadAdapter, Adapter: adapter(0)},
+	} {
+		t.Run(order.Kind.String(), func(t *testing.T) {
+			e := known(1, 1)
+			e.Ordered(0, order, Accepted)
+			now := 2 * time.Second
+			e.Reported(now, topology.EngineReport{Born: 1, Orders: 2, Models: []topology.HeldModel{{Name: "m",
+				Adapters: []topology.HeldAdapter{{Name: adapter(0).Name, Version: 1}}}}})
+			e.Want(now, adapter(0), 2, 1)
+			want := Order{Kind: LoadAdapter, Adapter: adapter(0), Version: 2, Precondition: 2}
+			if got := e.Next(now).Order; got == nil || *got != want {
+				t.Errorf("next is %+v, want %+v", got, want)
+			}
+		})
+	}
+}
+
 // known returns an engine that holds the first adapters in the given version.
 func known(capacity int, versions ...int64) *Engine {
 	e := NewEngine(Spec{Capacity: capacity, Model: "m"})
--- a/internal/residency/next.go
+++ b/internal/residency/next.go
@@ -194,6 +194,9 @@
 	case adapter.Model != e.spec.Model:
 		w.stuck = true
 		return nil
+	case !e.mayLoad():
+		w.stuck = p == nil && now-w.since > stuckAfter
+		return nil
 	case p != nil && p.phase == ready:
 		return load // a newer version replaces the one that is held
 	case p != nil:
@@ -211,6 +214,16 @@
 	return &Order{Kind: UnloadAdapter, Adapter: victim}
 }
 
+// mayLoad reports whether one more load may stay without an answer. After a
+// restart the engine might carry out all of those, whatever they replaced, so
+// they must never be more than its slots.
+func (e *Engine) mayLoad() bool {
+	if _, again := e.unanswered[e.orders]; again {
+		return true
+	}
+	return len(e.unanswered)+len(e.reserved) < e.spec.Capacity
+}
+
 func (e *Engine) inTransit() int {
 	n := 0
 	for _, p := range e.places {
--- a/internal/residency/result.go
+++ b/internal/residency/result.go
@@ -153,6 +153,9 @@
 		e.postpone(now)
 		return
 	}
+	if report.Orders > e.orders {
+		e.strangeOrders()
+	}
 	e.orders = report.Orders
 	e.known = true
 	e.takeModels(now, report)
@@ -160,6 +163,19 @@
 	e.postpone(now)
 }
 
+// strangeOrders takes over that the engine has accepted orders of which nothing
+// is known here: of another daemon, or one of its earlier process's that came
+// late. They may have undone what is under way, so the report decides what
+// still is.
+func (e *Engine) strangeOrders() {
+	for _, p := range e.places {
+		if p.phase == replacing || p.phase == leaving {
+			p.phase = ready
+			p.target = 0
+		}
+	}
+}
+
 // postpone sets the next question about orders that are still under way.
 func (e *Engine) postpone(now time.Duration) {
 	for _, p := range e.places {
