catalog: a fork before the first watch is found

Cause, verified: the service was restored and changed between the read of the head and the opening of the watch. The fork then had the revision of the head that was read: the watch from the next revision brings nothing, and the poll, which compares revisions, finds no change. Ruled out: the wait for the watch's confirmation, which the client has.

Change: once the watch is open, the head is read in full, one read a watch. Test first (TestForkBeforeTheFirstWatchIsFound, which places the fork there each time).

--- a/internal/catalog/follow.go
+++ b/internal/catalog/follow.go
@@ -67,6 +67,11 @@
 	if err != nil {
 		return err
 	}
+	// A restore before the watch was open does not break it, and a fork may
+	// have the very revision of the head that was read before.
+	if at, err = s.pollAgain(ctx, at); err != nil {
+		return err
+	}
 	ticker := time.NewTicker(min(pollInterval, s.cfg.StaleBound/4))
 	defer ticker.Stop()
 	for {
@@ -92,6 +97,19 @@
 	}
 }
 
+// pollAgain reads the head in full, whether or not its revision is that of the
+// position, and returns the new position.
+func (s *Store) pollAgain(ctx context.Context, at position) (position, error) {
+	polled, err := s.poll(ctx, position{})
+	if err != nil {
+		return position{}, err
+	}
+	if polled.revision < at.revision {
+		return position{}, errRevisionFell
+	}
+	return polled, nil
+}
+
 // errRevisionFell means that the service was restored from an old state, so
 // that the watch waits for revisions which may never come.
 var errRevisionFell = errors.New("the service's revision fell")
--- a/internal/catalog/store_test.go
+++ b/internal/catalog/store_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"slices"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -237,6 +238,44 @@
 	})
 }
 
+// beforeFirstWatch is a key-value service at which something happens between a
+// daemon's first read and the opening of its watch.
+type beforeFirstWatch struct {
+	infra.KV
+	once   sync.Once
+	happen func()
+}
+
+func (k *beforeFirstWatch) Watch(ctx context.Context, prefix string, from int64) (<-chan infra.WatchBatch, error) {
+	k.once.Do(k.happen)
+	return k.KV.Watch(ctx, prefix, from)
+}
+
+// The fork has the very revision of the head that was read, so that neither the
+// watch nor the revisions tell it apart.
+func TestForkBeforeTheFirstWatchIsFound(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		kv := fake.NewKV()
+		mustApply(t, kv, with("a"))
+		old := kv.Snapshot()
+		mustApply(t, kv, with("b"))
+		forking := &beforeFirstWatch{KV: kv, happen: func() {
+			kv.Restore(old)
+			mustApply(t, kv, with("other"))
+		}}
+		net := newNetwork(t, 1, oneKV(forking))
+		net.start(t.Context())
+		defer net.stop()
+		time.Sleep(2 * pollInterval)
+		if net.regressions(t, "d000") == 0 {
+			t.Fatal("no alarm")
+		}
+		if store := net.stores["d000"]; store.Generation() != 2 {
+			t.Fatalf("generation %d is in force", store.Generation())
+		}
+	})
+}
+
 func TestNewDaemonTakesTheHighestGenerationOfServiceAndPeers(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		kv := fake.NewKV()
