--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -227,15 +227,32 @@
 		return sent{err: err, written: written, ran: written}
 	}
 	head := protocol.Head(response.StatusCode, response.Header)
-	result := sent{response: response, head: head, written: true, ran: !head.NotRun && !head.Misdirected}
-	if !head.NotRun && !head.Misdirected && (head.Encoded || head.RequestID != e.call.ID || response.StatusCode/100 == 2 && !head.Signed) {
+	if head.NotRun || head.Misdirected {
+		return sent{response: response, head: head, written: true}
+	}
+	if err := e.check(head, response.StatusCode); err != nil {
 		response.Discard()
-		return sent{err: errForeignAnswer, written: true, ran: true}
+		return sent{err: err, written: true, ran: true}
+	}
+	return sent{response: response, head: head, written: true, ran: true}
+}
+
+// check returns why an answer to a request that may have run can't be passed on.
+func (e *exchange) check(head Head, status int) error {
+	switch {
+	case head.Encoded || head.RequestID != e.call.ID || status/100 == 2 && !head.Signed:
+		return errForeignAnswer
+	case head.Refusal:
+		return errUnfoundedRefusal
+	default:
+		return nil
 	}
-	return result
 }
 
 var (
-	errGone          = errors.New("the upstream is gone or leaving")
-	errForeignAnswer = errors.New("the answer is not the upstream's to this request")
+	errGone = errors.New("the upstream is gone or leaving")
+	// errUnfoundedRefusal stands for an answer whose status would promise the
+	// caller what the upstream does not state.
+	errUnfoundedRefusal = errors.New("the upstream refused the request and did not state that it has not run")
+	errForeignAnswer    = errors.New("the answer is not the upstream's to this request")
 )
--- a/internal/relay/types.go
+++ b/internal/relay/types.go
@@ -57,6 +57,9 @@
 	// Misdirected tells that the upstream is not the expected process, or does
 	// not hold the adapter in the expected version; the call did not run.
 	Misdirected bool
+	// Refusal tells that callers read the status as a promise that the call has
+	// not run. Without NotRun or Misdirected there is nothing to it.
+	Refusal bool
 	// Upstream is the process that answered; empty if it did not say.
 	Upstream string
 	// Encoded tells that the body carries a content coding and so is not the
