fleet: the look for due claims does not cost engines times members

Cause, by a benchmark of the look that each daemon makes at least five times a second and at each change: for every engine, owned ones included, it ranked all members and counted all engines.

Change: the excess is counted once a look, ranks are kept until the members change, and only of engines that are free to claim. Changes that are not about the fleet do not list the owned engines.

--- a/internal/fleet/keeper.go
+++ b/internal/fleet/keeper.go
@@ -5,6 +5,7 @@
 	"errors"
 	"log/slog"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -82,20 +83,29 @@
 	}, nil
 }
 
-// Apply takes over changes from the mirror of the key-value service.
+// Apply takes over changes from the mirror of the key-value service. Most are
+// not about the fleet and cost little.
 func (k *Keeper) Apply(changes []mirror.Change, revision int64) {
+	ours := slices.ContainsFunc(changes, func(c mirror.Change) bool { return strings.HasPrefix(c.Entry.Key, k.config.Prefix) })
+	var before, after []string
 	k.mu.Lock()
-	before := k.table.Mine()
+	if ours {
+		before = k.table.Mine()
+	}
 	k.table.Apply(k.config.Now(), changes, revision)
-	after := k.table.Mine()
+	if ours {
+		after = k.table.Mine()
+	}
 	if k.announced != 0 && k.announced <= revision && k.table.members[k.config.Self.Name].Boot != k.config.Self.Boot {
 		// The service dropped the member key, or another process of this VM took it.
 		k.announced = 0
 	}
 	k.mu.Unlock()
-	k.logOwnership(before, after)
 	k.signal()
-	k.config.Changed()
+	if ours {
+		k.logOwnership(before, after)
+		k.config.Changed()
+	}
 }
 
 func (k *Keeper) logOwnership(before, after []string) {
--- a/internal/fleet/table.go
+++ b/internal/fleet/table.go
@@ -34,6 +34,10 @@
 	claimed time.Duration
 	pending bool
 	tried   bool
+	// rank is this daemon's rank for the engine after rankedAt changes of the
+	// members.
+	rank     int
+	rankedAt int
 }
 
 // Table holds the members and the engines' records. It does no I/O and is not
@@ -48,6 +52,8 @@
 	lost    map[string]time.Duration
 	former  map[string]Member
 	engines map[string]*engine
+	// memberChanges counts the changes of members, from 1 on.
+	memberChanges int
 	// revision is that up to which the table is complete, and began when it
 	// was first.
 	revision int64
@@ -64,6 +70,8 @@
 		lost:    make(map[string]time.Duration),
 		former:  make(map[string]Member),
 		engines: make(map[string]*engine),
+
+		memberChanges: 1,
 	}
 }
 
@@ -94,6 +102,7 @@
 }
 
 func (t *Table) applyMember(now time.Duration, name string, change mirror.Change) {
+	t.memberChanges++
 	var member Member
 	if change.Deleted || json.Unmarshal(change.Entry.Value, &member) != nil || member.Name != name {
 		if before, ok := t.members[name]; ok {
@@ -253,8 +262,9 @@
 		return nil
 	}
 	var due []string
+	excess := t.excess()
 	for id, e := range t.engines {
-		if t.claimDue(now, id, e, ordering) {
+		if t.claimDue(now, id, e, excess, ordering) {
 			due = append(due, id)
 		}
 	}
@@ -266,7 +276,7 @@
 	return claims
 }
 
-func (t *Table) claimDue(now time.Duration, id string, e *engine, ordering func(string) bool) bool {
+func (t *Table) claimDue(now time.Duration, id string, e *engine, excess int, ordering func(string) bool) bool {
 	if e.pending || e.tried && now-e.claimed < retryClaim {
 		return false
 	}
@@ -285,25 +295,36 @@
 		// The members that start at the same time are not all known yet.
 		return false
 	}
-	wait := time.Duration(min(t.rank(id)+t.excess(), maxPlaces)) * rankStep
+	free, isFree := t.freeSince(now, e, ordering)
+	return isFree && now-free >= time.Duration(min(t.rank(id, e)+excess, maxPlaces))*rankStep
+}
+
+// freeSince returns from when on the daemons wait, by their ranks, to claim an
+// engine whose record names none of them that goes on; false if there is one.
+func (t *Table) freeSince(now time.Duration, e *engine, ordering func(string) bool) (time.Duration, bool) {
 	if e.Member == "" {
-		return now-e.changed >= wait
+		return e.changed, true
 	}
-	former, present := t.members[e.Member]
-	if present {
-		return former.Draining && now-former.drainingSince >= wait
+	if former, present := t.members[e.Member]; present {
+		return former.drainingSince, former.Draining
 	}
 	since, known := t.lost[e.Member]
 	if !known {
 		// The member was absent from the first read on.
 		t.lost[e.Member] = now
-		return false
+		return 0, false
 	}
-	return now-since >= settleDelay+wait && !ordering(e.Member)
+	return since + settleDelay, !ordering(e.Member)
 }
 
-// rank returns how many members stand before this daemon for an engine.
-func (t *Table) rank(id string) int {
+// rank returns how many members stand before this daemon for an engine. It is
+// kept until the members change, because it looks at all of them.
+func (t *Table) rank(id string, e *engine) int {
+	if e.rankedAt == t.memberChanges {
+		return e.rank
+	}
+	e.rankedAt = t.memberChanges
+	e.rank = maxPlaces
 	candidates := make([]placement.Candidate, 0, len(t.members)+1)
 	candidates = append(candidates, placement.Candidate{Engine: t.self.Name})
 	for name, m := range t.members {
@@ -313,10 +334,10 @@
 	}
 	for i, c := range placement.Rank(candidates, id, maxPlaces) {
 		if c.Engine == t.self.Name {
-			return i
+			e.rank = i
 		}
 	}
-	return maxPlaces
+	return e.rank
 }
 
 // excess returns how many engines this daemon would order beyond an equal part
