gateway: notices go to partners; the rest of the fleet takes turns

Notices were all-to-all, each N x 19 ms: an entry knew the load of the engines that it used 1.1 s late at 61 daemons and 5.6 s late at 300, where its running requests also counted as ended after 5 s and an owner's state as unknown after 2 s; from 54 daemons on, an outage that all see could not be told within the second for which that word is believed, so that loads stopped.

States go to all up to 64 daemons, beyond to the users of an engine. An entry tells an owner of use while there is any, and three times after it.

--- a/internal/gateway/directory.go
+++ b/internal/gateway/directory.go
@@ -22,7 +22,7 @@
 	now := clock.Boot()
 	self := g.settings.Load().VM
 	members := g.members()
-	silence := max(peerSilence, 3*noticePeriod(len(members)))
+	silence := silenceBound(len(members))
 	var alive, listed []string
 	for _, m := range members {
 		if m.Draining || m.Name == self {
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -30,10 +30,3 @@
 		t.Errorf("only %d repeated sends are allowed", repeats)
 	}
 }
-
-func TestNoticesKeepTheirRateInLargeFleets(t *testing.T) {
-	rate := func(n int) float64 { return float64(n-1) / noticePeriod(n).Seconds() }
-	if small, large := rate(9), rate(510); large > 2*float64(noticePeers)/noticeEvery.Seconds() || small > large {
-		t.Errorf("%.0f notices a second in a fleet of 9, %.0f in one of 510", small, large)
-	}
-}
--- a/internal/gateway/notices.go
+++ b/internal/gateway/notices.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -18,12 +20,8 @@
 
 // Time constants of the notices between daemons.
 const (
-	// noticeEvery is the time between two notices to each daemon in a fleet of
-	// noticePeers or fewer; larger fleets send less often, so that a daemon's
-	// rate of datagrams stays the same.
-	noticeEvery = 300 * time.Millisecond
-	noticePeers = 16
-	// peerSilence is how long a daemon without notices counts as alive.
+	// peerSilence is how long a daemon without notices counts as alive in a
+	// small fleet.
 	peerSilence = 2 * time.Second
 	// outageFresh is how old another daemon's word on the key-value service may be.
 	outageFresh = time.Second
@@ -69,68 +67,148 @@
 func (g *Gateway) members() []fleet.Member {
 	members := g.keeper.Members()
 	now := clock.Boot()
+	silence := silenceBound(len(members))
 	for _, m := range g.keeper.Former() {
-		if p, ok := g.peers.get(m.Name); ok && p.boot == m.Boot && !p.draining && now-p.heard < peerSilence {
+		if p, ok := g.peers.get(m.Name); ok && p.boot == m.Boot && !p.draining && now-p.heard < silence {
 			members = append(members, m)
 		}
 	}
 	return members
 }
 
-// noticePeriod returns the time between two notices in a fleet of n daemons.
-func noticePeriod(n int) time.Duration {
-	return noticeEvery * time.Duration(max(n, noticePeers)) / noticePeers
+func (g *Gateway) runNotices(ctx context.Context) {
+	var who audience
+	for clock.Sleep(ctx, noticeEvery) {
+		g.setWatchPause()
+		g.sendNotices(&who)
+	}
 }
 
-func (g *Gateway) runNotices(ctx context.Context) {
-	for {
-		members := g.members()
-		if !clock.Sleep(ctx, noticePeriod(len(members))) {
-			return
+// sendNotices tells other daemons about this one's use of their engines, and
+// about the engines of this one.
+func (g *Gateway) sendNotices(who *audience) {
+	addresses := g.others()
+	names := slices.Sorted(maps.Keys(addresses))
+	uses := g.usesByOwner()
+	states := g.states()
+	down := g.outOfTouch()
+	sharing := partners(uses, states)
+	if !down {
+		g.addOutOfTouch(sharing, names)
+	}
+	orders := g.keeper.Orders()
+	for _, name := range who.next(clock.Boot(), names, sharing, down) {
+		g.sendNotice(addresses[name], name, mesh.Notice{
+			StoreDown: down,
+			Orders:    orders,
+			Uses:      uses[name],
+			States:    statesFor(name, states, len(names)),
+		})
+	}
+}
+
+// sendNotice completes a notice and sends it.
+func (g *Gateway) sendNotice(address, member string, notice mesh.Notice) {
+	notice.Draining = g.draining.Load()
+	notice.Stamp = int64(clock.Boot())
+	g.vouch(member, &notice)
+	g.mesh.Send(address, mesh.Packet{Notice: &notice})
+}
+
+// tellEnd tells all other daemons that this one is draining.
+func (g *Gateway) tellEnd() {
+	for name, address := range g.others() {
+		g.sendNotice(address, name, mesh.Notice{StoreDown: g.outOfTouch()})
+	}
+}
+
+// others returns the addresses of the other daemons.
+func (g *Gateway) others() map[string]string {
+	self := g.keeper.Self().Name
+	addresses := make(map[string]string)
+	for _, m := range g.members() {
+		if m.Name != self {
+			addresses[m.Name] = m.Mesh
 		}
-		g.setWatchPause()
-		g.sendNotices(members)
 	}
+	return addresses
 }
 
-// sendNotices tells each daemon about this one's use of its engines, and about
-// the engines of this one.
-func (g *Gateway) sendNotices(members []fleet.Member) {
-	self := g.keeper.Self()
+// addOutOfTouch adds the daemons that have just said that they do not reach
+// the key-value service: they need this one's word on which engines are theirs.
+func (g *Gateway) addOutOfTouch(list map[string]bool, names []string) {
+	now := clock.Boot()
+	for _, name := range names {
+		if p, ok := g.peers.get(name); ok && p.storeDown && now-p.heard < outageFresh {
+			list[name] = true
+		}
+	}
+}
+
+// usesByOwner returns this daemon's use of engines by the daemons that order
+// them. Its own engines are told at once.
+func (g *Gateway) usesByOwner() map[string][]mesh.EngineUse {
+	self := g.keeper.Self().Name
 	uses := make(map[string][]mesh.EngineUse)
 	for _, use := range g.locator.TakeUses() {
 		owner, ok := g.keeper.Owner(use.Engine)
 		if !ok {
 			continue
 		}
-		if owner.Name == self.Name {
-			g.orders.Use(self.Name, use.Engine, use.Running, use.Uses)
+		if owner.Name == self {
+			g.orders.Use(self, use.Engine, use.Running, use.Uses)
 			continue
 		}
 		uses[owner.Name] = append(uses[owner.Name], useMessage(use))
 	}
+	return uses
+}
+
+// ownState is the state of an engine of this daemon, and who uses it.
+type ownState struct {
+	message mesh.EngineState
+	users   map[string]bool
+}
+
+// states returns the state of this daemon's engines. Its own requests are told
+// at once.
+func (g *Gateway) states() []ownState {
 	states := g.orders.States()
-	messages := make([]mesh.EngineState, 0, len(states))
+	list := make([]ownState, 0, len(states))
 	for _, state := range states {
 		g.locator.TakeState(state)
-		messages = append(messages, stateMessage(state))
+		users := make(map[string]bool, len(state.Users))
+		for _, user := range state.Users {
+			users[user] = true
+		}
+		list = append(list, ownState{message: stateMessage(state), users: users})
 	}
-	orders := g.keeper.Orders()
-	for _, m := range members {
-		if m.Name == self.Name {
-			continue
+	return list
+}
+
+// partners returns the daemons with which engines are shared at present.
+func partners(uses map[string][]mesh.EngineUse, states []ownState) map[string]bool {
+	list := make(map[string]bool, len(uses))
+	for name := range uses {
+		list[name] = true
+	}
+	for _, state := range states {
+		for name := range state.users {
+			list[name] = true
 		}
-		notice := &mesh.Notice{
-			StoreDown: g.outOfTouch(),
-			Draining:  g.draining.Load(),
-			Stamp:     int64(clock.Boot()),
-			Orders:    orders,
-			Uses:      uses[m.Name],
-			States:    messages,
+	}
+	return list
+}
+
+// statesFor returns what one of the other daemons is told about engines.
+func statesFor(name string, states []ownState, others int) []mesh.EngineState {
+	var list []mesh.EngineState
+	for _, state := range states {
+		if others < statesToAll || state.users[name] {
+			list = append(list, state.message)
 		}
-		g.vouch(m.Name, notice)
-		g.mesh.Send(m.Mesh, mesh.Packet{Notice: notice})
 	}
+	return list
 }
 
 // vouch adds to a notice which engines the receiver owns, if this daemon has
@@ -148,7 +226,8 @@
 // ordering reports whether a member has just said that it gives orders.
 func (g *Gateway) ordering(member string) bool {
 	p, ok := g.peers.get(member)
-	return ok && p.orders && !p.draining && clock.Boot()-p.heard < outageFresh
+	fresh := max(outageFresh, noticePeriod(g.budgets.memberCount())+noticeEvery)
+	return ok && p.orders && !p.draining && clock.Boot()-p.heard < fresh
 }
 
 // receive takes over a datagram.
--- a/internal/locator/locator.go
+++ b/internal/locator/locator.go
@@ -267,17 +267,25 @@
 	Uses    []residency.Use
 }
 
-// TakeUses returns the use of each engine that was used since the last call.
+// TakeUses returns the use of each engine that is used, and for some calls
+// after its last use that it is not any more: news of that may be lost.
 func (l *Locator) TakeUses() []EngineUse {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	var list []EngineUse
 	for id, v := range l.views {
 		uses := v.takeUses()
-		if len(v.upstream.Models) == 0 && len(uses) == 0 {
+		if len(uses) > 0 || v.running > 0 {
+			v.unusedNews = unusedRepeats
+		} else if v.unusedNews == 0 {
 			continue
+		} else {
+			v.unusedNews--
 		}
 		list = append(list, EngineUse{Engine: id, Running: v.running, Uses: uses})
 	}
 	return list
 }
+
+// unusedRepeats is how often an owner is told that an engine is not used.
+const unusedRepeats = 3
--- a/internal/locator/view.go
+++ b/internal/locator/view.go
@@ -40,6 +40,8 @@
 	asking      int
 	askedBefore int
 	uses        map[topology.Adapter]*use
+	// unusedNews is how often the owner is still to be told of no use.
+	unusedNews int
 	// orderlessUntil is when the owner may be asked again.
 	orderlessUntil time.Duration
 	// unownedUntil is until when requests are sent without a turn.
--- a/internal/orders/pool.go
+++ b/internal/orders/pool.go
@@ -78,6 +78,8 @@
 	// Waiting is the number of requests that wait for their turn.
 	Waiting int
 	Held    []residency.Held
+	// Users lists the entries that have used the engine lately.
+	Users []string
 }
 
 // Pool runs the workers of the engines that this daemon owns. It is safe for
--- a/internal/orders/worker.go
+++ b/internal/orders/worker.go
@@ -20,6 +20,10 @@
 // runningSilence is how long an entry's count of running requests is believed.
 const runningSilence = 3 * time.Second
 
+// userMemory is how long after its last request an entry is told about the
+// engine: its next request there finds a state that is not old.
+const userMemory = 3 * time.Second
+
 // worker orders one engine.
 type worker struct {
 	pool  *Pool
@@ -36,6 +40,8 @@
 	token    fleet.Token
 	allowed  bool
 	running  map[string]entryRunning
+	// users maps entries to when they last used the engine.
+	users map[string]time.Duration
 }
 
 // entryRunning is an entry's number of running requests and when it was told.
@@ -54,6 +60,7 @@
 		engine:   residency.NewEngine(a.Spec),
 		gate:     admission.NewGate(),
 		running:  make(map[string]entryRunning),
+		users:    make(map[string]time.Duration),
 	}
 	w.engine.Restarted(a.Engine.Born)
 	return w
@@ -88,6 +95,7 @@
 func (w *worker) ask(now time.Duration, request admission.Request) (residency.Status, int) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.users[request.Key.Entry] = now
 	status := w.answer(now, request)
 	return status, w.gate.Waiting()
 }
@@ -176,6 +184,9 @@
 	defer w.mu.Unlock()
 	w.engine.Use(now, entry, uses)
 	w.running[entry] = entryRunning{requests: running, at: now}
+	if len(uses) > 0 {
+		w.users[entry] = now
+	}
 }
 
 // state returns what entries are told; false while the engine's state is unknown.
@@ -199,9 +210,24 @@
 			state.Running += r.requests
 		}
 	}
+	state.Users = w.lateUsers(now)
 	return state, true
 }
 
+// lateUsers returns the entries that have used the engine lately. The caller
+// holds mu.
+func (w *worker) lateUsers(now time.Duration) []string {
+	var list []string
+	for entry, used := range w.users {
+		if now-used > userMemory {
+			delete(w.users, entry)
+			continue
+		}
+		list = append(list, entry)
+	}
+	return list
+}
+
 func (w *worker) run(ctx context.Context) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
