--- a/internal/gateway/apply.go
+++ b/internal/gateway/apply.go
@@ -20,10 +20,10 @@
 
 // apply takes over changes of the key-value service.
 func (g *Gateway) apply(changes []mirror.Change, revision int64) {
-	var telling []mirror.Change
+	var telling []toldChange
 	for _, change := range changes {
-		if g.worthTelling(change) {
-			telling = append(telling, change)
+		if u := g.urgencyOf(change); u > routine {
+			telling = append(telling, toldChange{change, u})
 		}
 		update, err := g.platform.Decode(change)
 		if err != nil {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -18,6 +18,7 @@
 	"github.com/barleylift/barleylift/internal/relay"
 	"github.com/barleylift/barleylift/internal/topology"
 	"github.com/prometheus/client_golang/prometheus"
+	"golang.org/x/time/rate"
 )
 
 // keyPrefix is that of the product's own keys in the key-value service.
@@ -56,6 +57,8 @@
 	pools   *pools
 	budgets *budgets
 	peers   *peers
+	// telling bounds the bytes that this daemon passes on as a watcher.
+	telling *rate.Limiter
 
 	draining  atomic.Bool
 	storeDown atomic.Bool
@@ -107,6 +110,7 @@
 		firstSeen: make(map[processKey]time.Duration),
 		reassign:  make(chan struct{}, 1),
 		peers:     newPeers(),
+		telling:   rate.NewLimiter(tellRate, tellBurst),
 	}
 	g.settings.Store(&s)
 	g.storeDown.Store(true)
--- a/internal/gateway/notices.go
+++ b/internal/gateway/notices.go
@@ -242,8 +242,12 @@
 		g.locator.Told(orders.News{
 			Engine: news.Engine, Ticket: news.Ticket, Status: residency.Status(news.Status), Waiting: news.Waiting,
 		})
-	case packet.Change != nil:
-		g.mirror.Inject([]mirror.Change{changeOf(packet.Change)})
+	case len(packet.Changes) > 0:
+		changes := make([]mirror.Change, len(packet.Changes))
+		for i, message := range packet.Changes {
+			changes[i] = changeOf(message)
+		}
+		g.mirror.Inject(changes)
 	case packet.Begun != nil:
 		begun := packet.Begun
 		g.orders.Begun(begun.Engine, admission.Key{Entry: packet.From, Ticket: begun.Ticket}, orders.Progress{Refused: begun.Refused, Ended: begun.Ended})
--- /dev/null
+++ b/internal/gateway/telling_test.go
@@ -0,0 +1,61 @@
+package gateway
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/barleylift/barleylift/internal/infra"
+	"github.com/barleylift/barleylift/internal/mirror"
+)
+
+func told(n int, u urgency, size int) []toldChange {
+	list := make([]toldChange, n)
+	for i := range list {
+		list[i] = toldChange{urgency: u, Change: mirror.Change{Entry: infra.Entry{
+			Key: fmt.Sprintf("key-%04d-%d", i, u), Value: make([]byte, size), ModRevision: int64(i + 1),
+		}}}
+	}
+	return list
+}
+
+// The load of a start: a thousand engines register and are claimed at once in a
+// fleet of a hundred daemons. What a watcher sends stays within its bound, and
+// the few changes that end something are among it.
+func TestWatcherStaysWithinItsBytesAtAStart(t *testing.T) {
+	const others = 98
+	left := tellBurst
+	allow := func(bytes int) bool {
+		if bytes > left {
+			return false
+		}
+		left -= bytes
+		return true
+	}
+	changes := append(told(2000, useful, 250), told(5, urgent, 250)...)
+	packets, dropped := planTelling(changes, others, allow)
+	bytes, sent := 0, 0
+	for i, packet := range packets {
+		for j, change := range packet {
+			bytes += (len(change.Key) + len(change.Value)) * others
+			if wantUrgent := sent < 5; wantUrgent != (change.Key[len(change.Key)-1] == '2') {
+				t.Errorf("change %d of packet %d is %s", j, i, change.Key)
+			}
+			sent++
+		}
+	}
+	if bytes > tellBurst || sent < 5 || sent+dropped != len(changes) {
+		t.Errorf("%d bytes, %d changes sent, %d dropped", bytes, sent, dropped)
+	}
+}
+
+// A take-over in a small fleet is passed on whole, several changes a datagram.
+func TestTakeOverIsPassedOnWhole(t *testing.T) {
+	packets, dropped := planTelling(told(10, useful, 60), 60, func(int) bool { return true })
+	if len(packets) != 1 || len(packets[0]) != 10 || dropped != 0 {
+		t.Errorf("%d packets, %d dropped", len(packets), dropped)
+	}
+	packets, _ = planTelling(told(10, useful, maxToldValue), 60, func(int) bool { return true })
+	if len(packets) != 10 {
+		t.Errorf("%d packets of large values, want 10", len(packets))
+	}
+}
--- a/internal/gateway/watchers.go
+++ b/internal/gateway/watchers.go
@@ -57,53 +57,69 @@
 	g.platform.SetWatchPause(pause)
 }
 
-// worthTelling reports whether a change, which has not been applied yet,
-// matters to other daemons at once: all but an engine's regular writing about
-// what it holds.
-func (g *Gateway) worthTelling(change mirror.Change) bool {
+// urgency tells how soon other daemons should learn of a change.
+type urgency int
+
+const (
+	// routine changes come by each daemon's own watch: an engine's regular
+	// writing about what it holds.
+	routine urgency = iota
+	// useful changes are better known soon: new upstreams, who orders engines.
+	useful
+	// urgent changes end something: an upstream leaves or is gone, a version
+	// is replaced.
+	urgent
+)
+
+// urgencyOf judges a change that has not been applied yet.
+func (g *Gateway) urgencyOf(change mirror.Change) urgency {
 	if len(change.Entry.Value) > maxToldValue {
-		return false
+		return routine
 	}
 	if change.Deleted {
-		return true
+		return urgent
 	}
 	update, err := g.platform.Decode(change)
-	if err != nil || update.Config != nil {
-		return false
-	}
-	if update.Upstream == nil {
-		return true
+	switch {
+	case err != nil || update.Config != nil:
+		return routine
+	case update.Version != nil:
+		return urgent
+	case update.Upstream == nil:
+		return useful
 	}
 	g.mu.Lock()
-	defer g.mu.Unlock()
 	known, ok := g.upstreams[update.Upstream.ID]
-	return !ok || !update.Upstream.SameProcess(known) || update.Upstream.Leaving != known.Leaving
+	g.mu.Unlock()
+	switch {
+	case ok && update.Upstream.Leaving != known.Leaving:
+		return urgent
+	case !ok || !update.Upstream.SameProcess(known):
+		return useful
+	default:
+		return routine
+	}
 }
 
 // tellChanges passes changes on to all other daemons if this one is a watcher.
-func (g *Gateway) tellChanges(changes []mirror.Change) {
+func (g *Gateway) tellChanges(changes []toldChange) {
 	if len(changes) == 0 || !g.isWatcher() {
 		return
 	}
-	self := g.keeper.Self()
-	for _, m := range g.members() {
-		if m.Name == self.Name {
-			continue
-		}
-		for _, change := range changes {
-			g.mesh.Send(m.Mesh, mesh.Packet{Change: &mesh.Change{
-				Key:      change.Entry.Key,
-				Value:    change.Entry.Value,
-				Created:  change.Entry.CreateRevision,
-				Revision: change.Entry.ModRevision,
-				Lease:    int64(change.Entry.Lease),
-				Deleted:  change.Deleted,
-			}})
+	others := g.others()
+	allow := func(bytes int) bool { return g.telling.AllowN(time.Now(), bytes) }
+	packets, dropped := planTelling(changes, len(others), allow)
+	for _, address := range others {
+		for _, packet := range packets {
+			g.mesh.Send(address, mesh.Packet{Changes: packet})
 		}
 	}
+	if dropped > 0 {
+		g.log.Info("changes not passed on, the others' own watches will bring them", "changes", dropped, "passed_on", len(changes)-dropped)
+	}
 }
 
-func changeOf(message *mesh.Change) mirror.Change {
+func changeOf(message mesh.Change) mirror.Change {
 	return mirror.Change{
 		Entry: infra.Entry{
 			Key:            message.Key,
--- a/internal/mesh/packet.go
+++ b/internal/mesh/packet.go
@@ -14,7 +14,8 @@
 	Ask    *Ask    `cbor:"4,keyasint,omitempty"`
 	News   *News   `cbor:"5,keyasint,omitempty"`
 	Begun  *Begun  `cbor:"6,keyasint,omitempty"`
-	Change *Change `cbor:"7,keyasint,omitempty"`
+	// Changes are changes of the key-value service that the sender has seen.
+	Changes []Change `cbor:"8,keyasint,omitempty"`
 }
 
 // Notice is what a daemon tells another one periodically.
@@ -108,7 +109,7 @@
 	Ended bool `cbor:"4,keyasint,omitempty"`
 }
 
-// Change is a change of the key-value service that the sender has seen.
+// Change is a change of one key of the key-value service.
 type Change struct {
 	Key      string `cbor:"1,keyasint"`
 	Value    []byte `cbor:"2,keyasint,omitempty"`
