mesh: splitting a notice of one use and one state ends

Cause: a notice too large for a datagram is split in halves, and the larger half of one use and one state is the same notice again, without end. It needed both and 1,400 bytes at once, which notices of all states hardly were; notices to partners of one engine are. Test first (TestLargeNoticesAreSplit, which ended in a stack overflow): uses and states now part first.

orders: requests leave an engine that nobody answers for. After three such calls in a row its requests go elsewhere and its entries avoid it as after two failures; calls rest up to 320 ms. A call of which nothing was written is no order without an answer.

--- a/internal/admission/gate.go
+++ b/internal/admission/gate.go
@@ -189,11 +189,12 @@
 	var decisions []Decision
 	var ready []*waiting
 	for key, w := range g.waiting {
-		switch status(w.Adapter, w.Version) {
+		stands := status(w.Adapter, w.Version)
+		switch stands {
 		case residency.Ready:
 			ready = append(ready, w)
-		case residency.Elsewhere:
-			decisions = append(decisions, Decision{Request: w.Request, Status: residency.Elsewhere})
+		case residency.Elsewhere, residency.Absent:
+			decisions = append(decisions, Decision{Request: w.Request, Status: stands})
 			delete(g.waiting, key)
 		}
 	}
--- a/internal/locator/wait.go
+++ b/internal/locator/wait.go
@@ -130,6 +130,9 @@
 	if v != nil {
 		delete(v.held, ask.Adapter)
 		v.orderlessUntil = clock.Boot() + declinedPause
+		if status == residency.Absent {
+			v.failures.add(clock.Boot(), suspectFailures)
+		}
 	}
 	return Declined
 }
--- a/internal/mesh/packet.go
+++ b/internal/mesh/packet.go
@@ -130,9 +130,7 @@
 	if len(data) <= maxPacket || notice == nil || len(notice.Uses)+len(notice.States) < 2 {
 		return [][]byte{data}, nil
 	}
-	first, second := *notice, *notice
-	first.Uses, second.Uses = halves(notice.Uses)
-	first.States, second.States = halves(notice.States)
+	first, second := split(*notice)
 	var datagrams [][]byte
 	for _, half := range []*Notice{&first, &second} {
 		part := packet
@@ -146,6 +144,19 @@
 	return datagrams, nil
 }
 
+// split divides what a notice lists between two. Both get less than all of it,
+// if it lists two things or more.
+func split(notice Notice) (first, second Notice) {
+	first, second = notice, notice
+	if len(notice.Uses) > 0 && len(notice.States) > 0 {
+		first.States, second.Uses = nil, nil
+		return first, second
+	}
+	first.Uses, second.Uses = halves(notice.Uses)
+	first.States, second.States = halves(notice.States)
+	return first, second
+}
+
 func halves[T any](list []T) (first, second []T) {
 	middle := (len(list) + 1) / 2
 	return list[:middle], list[middle:]
--- /dev/null
+++ b/internal/mesh/packet_test.go
@@ -0,0 +1,65 @@
+package mesh
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/fxamacker/cbor/v2"
+)
+
+func largeUse(n int) EngineUse {
+	use := EngineUse{Engine: fmt.Sprint("engine-", n)}
+	for i := range 17 {
+		use.Adapters = append(use.Adapters, AdapterUse{Model: "a-base-model", Adapter: fmt.Sprint("an-adapter-", i), Count: i + 1, Running: i})
+	}
+	return use
+}
+
+func largeState(n int) EngineState {
+	state := EngineState{Engine: fmt.Sprint("engine-", n)}
+	for i := range 17 {
+		state.Held = append(state.Held, HeldAdapter{Model: "a-base-model", Adapter: fmt.Sprint("an-adapter-", i), Version: 3})
+	}
+	return state
+}
+
+// A notice that is too large for one datagram is split until its parts fit or
+// hold one thing only, and nothing of it is lost.
+func TestLargeNoticesAreSplit(t *testing.T) {
+	for uses := range 6 {
+		for states := range 6 {
+			notice := &Notice{Stamp: 7}
+			for n := range uses {
+				notice.Uses = append(notice.Uses, largeUse(n))
+			}
+			for n := range states {
+				notice.States = append(notice.States, largeState(n))
+			}
+			for n := range 40 {
+				notice.Vouched = append(notice.Vouched, fmt.Sprint("a-vouched-engine-", n))
+			}
+			datagrams, err := encode(Packet{From: "vm", Notice: notice})
+			if err != nil {
+				t.Fatal(err)
+			}
+			gotUses, gotStates := 0, 0
+			for _, datagram := range datagrams {
+				var packet Packet
+				if err := cbor.Unmarshal(datagram, &packet); err != nil {
+					t.Fatal(err)
+				}
+				gotUses += len(packet.Notice.Uses)
+				gotStates += len(packet.Notice.States)
+				if len(datagram) > maxPacket && len(packet.Notice.Uses)+len(packet.Notice.States) > 1 {
+					t.Errorf("%d uses, %d states: a datagram of %d bytes", uses, states, len(datagram))
+				}
+				if len(packet.Notice.Vouched) != 40 || packet.Notice.Stamp != 7 {
+					t.Errorf("%d uses, %d states: a part lacks what all parts tell", uses, states)
+				}
+			}
+			if gotUses != uses || gotStates != states {
+				t.Errorf("%d uses and %d states sent, want %d and %d", gotUses, gotStates, uses, states)
+			}
+		}
+	}
+}
--- a/internal/orders/pool.go
+++ b/internal/orders/pool.go
@@ -24,6 +24,10 @@
 // ErrOtherProcess means that another process than the addressed one answered.
 var ErrOtherProcess = errors.New("another process has the engine's address")
 
+// ErrUnreachable means that a call did not reach anybody: no byte of it was
+// taken at the engine's address.
+var ErrUnreachable = errors.New("nobody answers at the engine's address")
+
 // ErrNotAllowed stops an order that this daemon may not send any more.
 var ErrNotAllowed = errors.New("this daemon may not order the engine now")
 
@@ -32,7 +36,8 @@
 	Report(ctx context.Context, engine topology.Upstream) (topology.EngineReport, error)
 	// Order sends an order. The gate is asked just before the first byte is
 	// written; its error is returned when it stops the order. ErrOtherProcess
-	// is returned when the engine is gone from its address.
+	// is returned when the engine is gone from its address, ErrUnreachable when
+	// nobody is there.
 	Order(ctx context.Context, engine topology.Upstream, order residency.Order, sender Sender, gate func() error) (residency.Result, error)
 }
 
--- a/internal/orders/worker.go
+++ b/internal/orders/worker.go
@@ -14,6 +14,18 @@
 	"github.com/barleylift/barleylift/internal/topology"
 )
 
+// Constants of engines that can't be reached.
+const (
+	// absentAfter is the number of calls in a row that reach nobody after which
+	// requests are sent elsewhere: an engine that starts again under its address
+	// refuses connections for a moment.
+	absentAfter = 3
+	// firstAbsentPause doubles with each such call up to maxAbsentPause, so that
+	// an engine that is back is found soon and one that is gone costs little.
+	firstAbsentPause = 20 * time.Millisecond
+	maxAbsentPause   = 320 * time.Millisecond
+)
+
 // notAllowedWait is how soon a worker looks again whether it may order.
 const notAllowedWait = 100 * time.Millisecond
 
@@ -40,6 +52,10 @@
 	token    fleet.Token
 	allowed  bool
 	running  map[string]entryRunning
+	// missed counts the calls in a row that reached nobody, and retryAt is when
+	// the next one may be made.
+	missed  int
+	retryAt time.Duration
 	// users maps entries to when they last used the engine.
 	users map[string]time.Duration
 }
@@ -106,7 +122,7 @@
 		return residency.Ready
 	}
 	status := w.status(request.Adapter, request.Version)
-	if status == residency.Elsewhere {
+	if status == residency.Elsewhere || status == residency.Absent {
 		return status
 	}
 	w.gate.Ask(now, request)
@@ -150,6 +166,9 @@
 	if w.upstream.Leaving {
 		return residency.Elsewhere
 	}
+	if w.missed >= absentAfter {
+		return residency.Absent
+	}
 	if _, known := w.engine.Known(); !known && !w.allowed {
 		if held, ok := w.upstream.VersionOf(adapter); ok && held >= version || adapter.Name == "" && w.upstream.Holds(adapter.Model) {
 			return residency.Ready
@@ -263,6 +282,10 @@
 			w.mu.Unlock()
 			return min(notAllowedWait, turnWait)
 		}
+		if pause := w.retryAt - now; pause > 0 {
+			w.mu.Unlock()
+			return min(pause, turnWait)
+		}
 		action := w.engine.Next(now)
 		upstream := w.upstream
 		token := w.token
@@ -310,6 +333,7 @@
 	now := clock.Boot()
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.reached(now, err)
 	if err != nil {
 		w.pool.config.Reported("failed")
 		w.log.Info("engine did not report", "error", err)
@@ -320,6 +344,19 @@
 	w.engine.Reported(now, report)
 }
 
+// reached takes over whether a call reached the engine. The caller holds mu.
+func (w *worker) reached(now time.Duration, err error) {
+	if !errors.Is(err, ErrUnreachable) && !errors.Is(err, ErrOtherProcess) {
+		w.missed = 0
+		return
+	}
+	w.retryAt = now + min(firstAbsentPause<<min(w.missed, 8), maxAbsentPause)
+	w.missed++
+	if w.missed == absentAfter {
+		w.log.Info("engine can't be reached, its requests go elsewhere", "error", err)
+	}
+}
+
 func (w *worker) order(ctx context.Context, upstream topology.Upstream, order residency.Order, token fleet.Token) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
@@ -337,9 +374,13 @@
 	w.log.Info("order sent", "kind", order.Kind.String(), "adapter", order.Adapter.String(), "version", order.Version,
 		"precondition", order.Precondition, "token", int64(token), "result", result.String(), "took_ms", (now - started).Milliseconds(), "error", err)
 	w.pool.config.Ordered(order.Kind.String(), result.String())
-	switch {
-	case errors.Is(err, ErrNotAllowed):
+	if errors.Is(err, ErrNotAllowed) {
 		return
+	}
+	w.reached(now, err)
+	switch {
+	case errors.Is(err, ErrUnreachable):
+		w.engine.NoReport(now)
 	case errors.Is(err, ErrOtherProcess):
 		w.engine.NoReport(now)
 		w.engine.Forget()
--- a/internal/residency/engine.go
+++ b/internal/residency/engine.go
@@ -324,6 +324,8 @@
 	Ready
 	// Elsewhere: the engine can't take the adapter soon.
 	Elsewhere
+	// Absent: nobody answers at the engine's address.
+	Absent
 )
 
 // Status returns how an adapter stands.
