fleet: an early daemon leaves the others their part

In large starts the wait before a claim ended at five ranks, two seconds: a daemon on a fast VM that was first then claimed every engine that slower ones had not claimed yet, all in one look (1,000 of 1,000 in the new test, 2 s after the start). That this is the reason there is likely, not verified.

Change: each claim of a look counts for the next one's wait, lowest rank first, and from its third equal part on a daemon waits one second for each part more. Tested with the load of a start of 100 daemons and 1,000 engines.

--- a/internal/fleet/table.go
+++ b/internal/fleet/table.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"cmp"
 	"encoding/json"
 	"slices"
 	"strings"
@@ -261,13 +262,7 @@
 	if t.self.Draining || t.revision == 0 {
 		return nil
 	}
-	var due []string
-	excess := t.excess()
-	for id, e := range t.engines {
-		if t.claimDue(now, id, e, excess, ordering) {
-			due = append(due, id)
-		}
-	}
+	due := t.due(now, ordering)
 	slices.Sort(due)
 	var claims []Claim
 	for chunk := range slices.Chunk(due, claimsPerTxn) {
@@ -276,32 +271,82 @@
 	return claims
 }
 
-func (t *Table) claimDue(now time.Duration, id string, e *engine, excess int, ordering func(string) bool) bool {
-	if e.pending || e.tried && now-e.claimed < retryClaim {
-		return false
+// free is an engine that a daemon may claim after a wait by its rank.
+type free struct {
+	id    string
+	since time.Duration
+	rank  int
+}
+
+// due lists the engines to be claimed now.
+func (t *Table) due(now time.Duration, ordering func(string) bool) []string {
+	var due []string
+	var candidates []free
+	for id, e := range t.engines {
+		if e.pending || e.tried && now-e.claimed < retryClaim {
+			continue
+		}
+		if t.dueAtOnce(now, e) {
+			due = append(due, id)
+			continue
+		}
+		if since, ok := t.freeSince(now, e, ordering); ok {
+			candidates = append(candidates, free{id, since, t.rank(id, e)})
+		}
+	}
+	return append(due, t.fairClaims(now, candidates, len(due))...)
+}
+
+// fairClaims lists the free engines whose wait is over, those of the lowest
+// rank first. Each one more counts for the waits of the next: a daemon that is
+// first at a start does not take what the others are about to claim.
+func (t *Table) fairClaims(now time.Duration, candidates []free, taken int) []string {
+	slices.SortFunc(candidates, func(a, b free) int {
+		return cmp.Or(cmp.Compare(a.rank, b.rank), strings.Compare(a.id, b.id))
+	})
+	mine, part := t.shares()
+	mine += taken
+	var due []string
+	for _, c := range candidates {
+		if now-c.since < claimWait(c.rank, mine+1, part) {
+			continue
+		}
+		due = append(due, c.id)
+		mine++
 	}
-	if !e.present {
+	return due
+}
+
+// claimWait is how long a daemon leaves a free engine to others: a step for each
+// member before it in the engine's order and for each engine beyond its equal
+// part, up to maxPlaces, and shareWait for each time that it would have the part
+// over again from the third part on.
+func claimWait(rank, mine, part int) time.Duration {
+	excess := max(mine-part, 0)
+	return time.Duration(min(rank+excess, maxPlaces))*rankStep + time.Duration(max(excess/part-1, 0))*shareWait
+}
+
+// dueAtOnce reports whether an engine's record is to be changed whatever others do.
+func (t *Table) dueAtOnce(now time.Duration, e *engine) bool {
+	switch {
+	case !e.present:
 		// The daemon that ordered the engine last removes its record.
 		return t.mine(e) && now-e.changed > t.timing.LeaseTTL
-	}
-	if t.mine(e) {
+	case t.mine(e):
 		// The quiet time is over: the record need not tell of it any more.
 		return e.After != "" && now >= e.quietFrom
+	default:
+		return e.Member == t.self.Name
 	}
-	if e.Member == t.self.Name {
-		return true
-	}
-	if now-t.began < startDelay {
-		// The members that start at the same time are not all known yet.
-		return false
-	}
-	free, isFree := t.freeSince(now, e, ordering)
-	return isFree && now-free >= time.Duration(min(t.rank(id, e)+excess, maxPlaces))*rankStep
 }
 
 // freeSince returns from when on the daemons wait, by their ranks, to claim an
 // engine whose record names none of them that goes on; false if there is one.
 func (t *Table) freeSince(now time.Duration, e *engine, ordering func(string) bool) (time.Duration, bool) {
+	if !e.present || t.mine(e) || now-t.began < startDelay {
+		// The members that start at the same time are not all known at first.
+		return 0, false
+	}
 	if e.Member == "" {
 		return e.changed, true
 	}
@@ -340,10 +385,10 @@
 	return e.rank
 }
 
-// excess returns how many engines this daemon would order beyond an equal part
-// if it claimed one more. Others are let go first by that many ranks.
-func (t *Table) excess() int {
-	present, mine := 0, 0
+// shares returns how many engines this daemon orders or has claimed, and an
+// equal part of all, at least 1.
+func (t *Table) shares() (mine, part int) {
+	present := 0
 	for _, e := range t.engines {
 		if !e.present {
 			continue
@@ -359,8 +404,7 @@
 			active++
 		}
 	}
-	part := (present + active - 1) / active
-	return max(mine+1-part, 0)
+	return mine, max((present+active-1)/active, 1)
 }
 
 // claim builds the transaction that makes this daemon the one that orders the
--- a/internal/fleet/table_test.go
+++ b/internal/fleet/table_test.go
@@ -232,3 +232,36 @@
 		t.Errorf("got %+v, want the deletion of the record", claims)
 	}
 }
+
+// The load of a large start on uneven VMs: one daemon looks for claims before the
+// others do. It must not take what they are about to claim, and yet no engine
+// may stay without an owner if they never do.
+func TestEarlyDaemonLeavesTheOthersTheirPart(t *testing.T) {
+	const members, engines = 100, 1000
+	s := newScript("vm-000", 1)
+	for i := range members {
+		s.member(0, Member{Name: fmt.Sprintf("vm-%03d", i), Boot: 1})
+	}
+	var ids []string
+	for i := range engines {
+		ids = append(ids, fmt.Sprintf("engine-%04d", i))
+	}
+	s.table.SetEngines(0, ids)
+	owned := func(at time.Duration) int {
+		s.acceptClaims(at, nobody)
+		return len(s.table.Mine())
+	}
+	const part = engines / members
+	// The engines were known all through the delay, so that some steps are over.
+	if n, most := owned(startDelay), part+int(startDelay/rankStep); n > most {
+		t.Errorf("%d engines claimed at the first look, want at most %d", n, most)
+	}
+	for _, after := range []time.Duration{time.Second, 3 * time.Second, 5 * time.Second} {
+		if n, most := owned(startDelay+after), part*(3+int(after/shareWait)); n > most {
+			t.Errorf("%d engines claimed %v after the start, want at most %d", n, after, most)
+		}
+	}
+	if n := owned(startDelay + engines/part*shareWait); n != engines {
+		t.Errorf("%d engines claimed in the end, want %d", n, engines)
+	}
+}
--- a/internal/fleet/types.go
+++ b/internal/fleet/types.go
@@ -88,6 +88,10 @@
 	renewRetry = 200 * time.Millisecond
 	// claimEvery is how often the table is asked for due claims.
 	claimEvery = 200 * time.Millisecond
+	// shareWait is kept before a daemon takes an equal part once more. At a
+	// start it gives slower VMs some seconds to claim theirs; after a loss of
+	// most daemons the last engine is claimed within some seconds.
+	shareWait = time.Second
 	// maxPlaces bounds the ranks that wait for one another.
 	maxPlaces = 5
 	// retryClaim is the least time between two claims of one engine.
