steer, residency: a new version is not loaded where the older one runs

Change: engines with an older version are left out when a cold or hot adapter gets an engine, while others are left; and nothing is ordered where a replacement waits, as where an unload does.

--- a/internal/locator/locator.go
+++ b/internal/locator/locator.go
@@ -140,6 +140,7 @@
 			Slots:     v.upstream.Slots,
 			Holds:     held && version >= needed,
 			Outdated:  held && version < needed && version >= allowed,
+			Older:     held && version < needed,
 			Orderless: now < v.orderlessUntil,
 			Loads:     v.state.Loads,
 			Queued:    v.queued(now),
--- a/internal/residency/engine_test.go
+++ b/internal/residency/engine_test.go
@@ -318,6 +318,12 @@
 				Adapters: []topology.HeldAdapter{{Name: "a0", Version: 1}, {Name: "a1", Version: 1}}}}})
 			e.Want(later, adapter(5), 0, 1)
 		}, nil},
+		{"nothing is ordered while a newer version waits for the runs on the older one", func(e *Engine) {
+			e.spec.Capacity = 3
+			e.Use(later, "entry", []Use{{Adapter: adapter(0), Running: 1}})
+			e.Ordered(later, Order{Kind: LoadAdapter, Adapter: adapter(0), Version: 2}, Accepted)
+			e.Want(later, adapter(5), 0, 1)
+		}, nil},
 		{"a wanted adapter stays", func(e *Engine) {
 			e.Want(later, adapter(0), 9, 5)
 			e.Want(later, adapter(5), 0, 9)
--- a/internal/residency/next.go
+++ b/internal/residency/next.go
@@ -135,7 +135,7 @@
 }
 
 func (e *Engine) nextOrder(now time.Duration) *Order {
-	if e.spec.Model == "" || e.modelLoading || e.unloading() {
+	if e.spec.Model == "" || e.modelLoading || e.waitsForRuns() {
 		return nil
 	}
 	if !e.HasModel() {
@@ -152,11 +152,11 @@
 	return nil
 }
 
-// unloading reports whether an unload waits for its runs. The engine refuses
-// all other orders until it is done.
-func (e *Engine) unloading() bool {
-	for _, p := range e.places {
-		if p.phase == leaving {
+// waitsForRuns reports whether an unload waits for its runs, or a newer version
+// for those on the older one. The engine refuses all other orders until then.
+func (e *Engine) waitsForRuns() bool {
+	for adapter, p := range e.places {
+		if p.phase == leaving || p.phase == replacing && e.runs(adapter) > 0 {
 			return true
 		}
 	}
--- a/internal/steer/engine.go
+++ b/internal/steer/engine.go
@@ -42,6 +42,10 @@
 	// Outdated tells that it is ready there in an older version that may still
 	// be used for a short while.
 	Outdated bool
+	// Older tells that it holds the adapter in an older version: a newer one is
+	// loaded there only after the requests on the older one have ended, and no
+	// other order is carried out until then.
+	Older bool
 	// Orderless tells that nobody can order the engine at present.
 	Orderless bool
 	// Loads is the number of adapters that wait for a load there.
@@ -90,24 +94,28 @@
 	case len(outdated) > 0:
 		return Choice{Engine: least(outdated).ID, Spread: successor(adapter, engines)}, true
 	default:
-		return Choice{Engine: home(adapter, engines), Load: true}, true
+		return Choice{Engine: home(adapter, withoutOlder(engines)), Load: true}, true
 	}
 }
 
+// withoutOlder leaves engines with an older version out if others are left.
+func withoutOlder(engines []Engine) []Engine {
+	list := slices.DeleteFunc(slices.Clone(engines), func(e Engine) bool { return e.Older })
+	if len(list) == 0 {
+		return engines
+	}
+	return list
+}
+
 // successor returns the engine on which a new version is loaded while the
 // older one still serves: one without the older version, which would first
 // have to end its requests.
 func successor(adapter topology.Adapter, engines []Engine) string {
-	var free []Engine
-	for _, e := range engines {
-		if !e.Outdated && !e.Orderless {
-			free = append(free, e)
-		}
-	}
-	if len(free) == 0 {
+	ordered := slices.DeleteFunc(slices.Clone(withoutOlder(engines)), func(e Engine) bool { return e.Orderless })
+	if len(ordered) == 0 {
 		return home(adapter, engines)
 	}
-	return home(adapter, free)
+	return home(adapter, ordered)
 }
 
 // preferSound leaves suspect engines out if others are left.
@@ -199,7 +207,7 @@
 	}
 	var free []Engine
 	for _, e := range engines {
-		if !e.Holds && !e.Orderless && e.Loads < longLoads && e.load()+spreadGain <= best.load() {
+		if !e.Holds && !e.Older && !e.Orderless && e.Loads < longLoads && e.load()+spreadGain <= best.load() {
 			free = append(free, e)
 		}
 	}
--- a/internal/steer/steer_test.go
+++ b/internal/steer/steer_test.go
@@ -51,12 +51,24 @@
 			}
 			at(e, first[0].ID).Holds = true
 		}, Choice{Engine: first[0].ID}},
-		{"an older version serves while the new one is loaded beside it", func(e []Engine) { at(e, first[0].ID).Outdated = true },
+		{"an older version serves while the new one is loaded beside it", func(e []Engine) { at(e, first[0].ID).Outdated, at(e, first[0].ID).Older = true, true },
 			Choice{Engine: first[0].ID, Spread: first[1].ID}},
 		{"the new version is taken once it is there", func(e []Engine) {
-			at(e, first[0].ID).Outdated = true
+			at(e, first[0].ID).Outdated, at(e, first[0].ID).Older = true, true
 			at(e, first[1].ID).Holds = true
 		}, Choice{Engine: first[1].ID}},
+		{"a new version is not loaded where the older one is held", func(e []Engine) {
+			at(e, first[0].ID).Older, at(e, first[1].ID).Older = true, true
+		}, Choice{Engine: first[2].ID, Load: true}},
+		{"a new version replaces the older one if all engines hold that", func(e []Engine) {
+			for i := range e {
+				e[i].Older = true
+			}
+		}, Choice{Engine: first[0].ID, Load: true}},
+		{"a hot adapter is not spread to where its older version is held", func(e []Engine) {
+			at(e, first[0].ID).Holds, at(e, first[0].ID).Queued = true, spreadQueue
+			at(e, first[1].ID).Older = true
+		}, Choice{Engine: first[0].ID, Spread: first[2].ID}},
 		{"a suspect engine is avoided", func(e []Engine) { at(e, first[0].ID).Suspect = true }, Choice{Engine: first[1].ID, Load: true}},
 	}
 	for _, test := range tests {
