steer, locator: the older version serves while as many engines load the new one

Cause, from the logs of its eight holders: requests that chose a holder of version 1, which may serve for two seconds more, asked its owner for version 2, so that all eight ordered the replacement within 250 ms, waited for their runs and declined everybody; one engine was left.

Change: a holder of the older version is asked for that while it may serve; it and holders of the new one share the requests; and the new one is loaded beside them on as many engines as serve the older one, by the requests' lots. Tests first: of the ask (locator) and of the load of a new version (steer).

--- a/internal/locator/locator_test.go
+++ b/internal/locator/locator_test.go
@@ -131,6 +131,26 @@
 	}
 }
 
+// While the older version may serve, its holders are asked for it: asked for
+// the newest, their owners would replace it under the requests that run.
+func TestOlderVersionIsAskedForWhileItServes(t *testing.T) {
+	o := newOwner(t)
+	asked := make(map[string]int64)
+	o.answer = func(engine string, ask Ask) bool {
+		asked[engine] = ask.Version
+		return false
+	}
+	o.locator.SetUpstream(engine("older", nil))
+	o.locator.SetUpstream(engine("empty", func(u *topology.Upstream) { u.Models[0].Adapters = nil }))
+	o.locator.SetVersion(climb, 2)
+	for _, id := range []string{"older", "empty"} {
+		o.locator.Await(t.Context(), id, Ask{Ticket: o.locator.Ticket(), Adapter: climb})
+	}
+	if asked["older"] != 0 || asked["empty"] != 2 {
+		t.Errorf("asked for versions %v, want any that is held (0) and 2 elsewhere", asked)
+	}
+}
+
 func TestTurns(t *testing.T) {
 	tests := []struct {
 		name   string
--- a/internal/locator/versions.go
+++ b/internal/locator/versions.go
@@ -48,3 +48,20 @@
 	defer l.mu.Unlock()
 	return l.versions[adapter].newest
 }
+
+// versionAt returns the version that a request asks an engine for: the newest,
+// or the older one while that may still be used and the engine holds it. Asking
+// for the newest there would make its owner replace the older one at once.
+func (l *Locator) versionAt(engine string, adapter topology.Adapter) int64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	needed, allowed := l.versions[adapter].at(clock.Boot())
+	v := l.views[engine]
+	if v == nil {
+		return needed
+	}
+	if held, ok := v.held[adapter]; ok && held >= allowed && held < needed {
+		return allowed
+	}
+	return needed
+}
--- a/internal/locator/wait.go
+++ b/internal/locator/wait.go
@@ -65,7 +65,7 @@
 
 // Await asks for a turn at an engine until there is an answer or ctx ends.
 func (l *Locator) Await(ctx context.Context, engine string, ask Ask) Turn {
-	ask.Version = l.Needed(ask.Adapter)
+	ask.Version = l.versionAt(engine, ask.Adapter)
 	w := l.join(engine, ask.Ticket)
 	defer l.leave(engine, ask.Ticket)
 	answered := clock.Boot()
--- a/internal/steer/engine.go
+++ b/internal/steer/engine.go
@@ -87,15 +87,34 @@
 			outdated = append(outdated, e)
 		}
 	}
-	switch {
-	case len(holders) > 0:
-		best := least(holders)
-		return Choice{Engine: best.ID, Spread: spread(adapter, engines, best, len(holders), lot)}, true
-	case len(outdated) > 0:
-		return Choice{Engine: least(outdated).ID, Spread: successor(adapter, engines)}, true
-	default:
+	if len(holders) == 0 && len(outdated) == 0 {
 		return Choice{Engine: home(adapter, withoutOlder(engines)), Load: true}, true
 	}
+	best := leastOf(holders, outdated)
+	choice := Choice{Engine: best.ID}
+	if len(holders) < len(outdated) {
+		choice.Spread = successor(adapter, engines, len(outdated), lot)
+	} else {
+		choice.Spread = spread(adapter, engines, best, len(holders)+len(outdated), lot)
+	}
+	return choice, true
+}
+
+// leastOf returns the least loaded holder of the version in force, or one of
+// the older version if that has clearly less load.
+func leastOf(holders, outdated []Engine) Engine {
+	if len(outdated) == 0 {
+		return least(holders)
+	}
+	older := least(outdated)
+	if len(holders) == 0 {
+		return older
+	}
+	newer := least(holders)
+	if older.load()+1 < newer.load() {
+		return older
+	}
+	return newer
 }
 
 // withoutOlder leaves engines with an older version out if others are left.
@@ -107,15 +126,17 @@
 	return list
 }
 
-// successor returns the engine on which a new version is loaded while the
-// older one still serves: one without the older version, which would first
-// have to end its requests.
-func successor(adapter topology.Adapter, engines []Engine) string {
-	ordered := slices.DeleteFunc(slices.Clone(withoutOlder(engines)), func(e Engine) bool { return e.Orderless })
-	if len(ordered) == 0 {
+// successor returns an engine on which a new version is loaded while the older
+// one still serves: one of n without the older version, which would first have
+// to end its requests. So many engines take a hot adapter's place in time that
+// its requests find as many as before when the older version is over.
+func successor(adapter topology.Adapter, engines []Engine, n int, lot uint64) string {
+	free := slices.DeleteFunc(slices.Clone(withoutOlder(engines)), func(e Engine) bool { return e.Orderless })
+	if len(free) == 0 {
 		return home(adapter, engines)
 	}
-	return home(adapter, ordered)
+	chosen := order(adapter, free, n)
+	return chosen[lot%uint64(len(chosen))].ID
 }
 
 // preferSound leaves suspect engines out if others are left.
--- a/internal/steer/steer_test.go
+++ b/internal/steer/steer_test.go
@@ -110,6 +110,55 @@
 	}
 }
 
+// The load of a new version of a hot adapter: twelve engines serve the older one
+// for two seconds more. By then as many hold the new one, and until then no
+// engine gets the load of all.
+func TestNewVersionOfAHotAdapterFindsAsManyEngines(t *testing.T) {
+	const holders, rounds, perRound = 12, 3, 40
+	engines := fleet(140)
+	for i := range holders {
+		engines[i].Outdated, engines[i].Older = true, true
+	}
+	lot := uint64(0)
+	for range rounds {
+		asked := make(map[string]bool)
+		for i := range engines {
+			engines[i].Queued = 0
+		}
+		for range perRound {
+			lot += 0x9e3779b97f4a7c15
+			choice, _ := Pick(hot, engines, lot)
+			if choice.Load {
+				t.Fatal("a request waits for a load while the older version serves")
+			}
+			for i := range engines {
+				if engines[i].ID == choice.Engine {
+					engines[i].Queued++
+				}
+			}
+			asked[choice.Spread] = true
+		}
+		for i := range engines {
+			if n := engines[i].Queued; n > perRound/holders*2 {
+				t.Errorf("%d of %d requests go to one engine", n, perRound)
+			}
+			engines[i].Holds = engines[i].Holds || asked[engines[i].ID]
+		}
+	}
+	count := 0
+	for _, e := range engines {
+		if e.Holds && e.Older {
+			t.Errorf("the new version replaces the older one at %s, where requests run", e.ID)
+		}
+		if e.Holds {
+			count++
+		}
+	}
+	if count < holders*3/4 || count > holders*3/2 {
+		t.Errorf("%d engines hold the new version, want about %d", count, holders)
+	}
+}
+
 // The load of a large fleet of small engines: within some seconds an adapter
 // needs two dozen engines, and a load takes as long as some dozen requests
 // arrive in. Its holders must grow with the backlog and not one by one, and end
