mirror: the first read is tried again each half second

Ruled out: the pauses between reads, 0.4 s at most.

Change: while nothing is known a read is given up after 0.5 s, after four tries with a doubled bound.

--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -18,6 +18,14 @@
 	// maxPause bounds the doubled pause, so that a daemon is up to date well
 	// within 2 s of the service's return.
 	maxPause = 400 * time.Millisecond
+	// firstReadWait bounds the first read while nothing is known: the service
+	// answers in some milliseconds, and one that has fallen silent does not
+	// answer a call of before its return. After firstReadTries it doubles up to
+	// maxReadWait, which gives the service of a large fleet time, that all
+	// daemons read at once.
+	firstReadWait  = 500 * time.Millisecond
+	firstReadTries = 4
+	maxReadWait    = 8 * time.Second
 )
 
 // Change is one key that was written or deleted. A deleted key has no value.
@@ -102,7 +110,7 @@
 	for ctx.Err() == nil {
 		var err error
 		if !read {
-			err = m.read(ctx)
+			err = m.readWithin(ctx, failures)
 			read = err == nil
 		}
 		if err == nil {
@@ -164,6 +172,18 @@
 	}
 }
 
+// readWithin reads all keys; before the first success within a bound that grows
+// with the failures.
+func (m *Mirror) readWithin(ctx context.Context, failures int) error {
+	if m.Revision() != 0 {
+		return m.read(ctx)
+	}
+	doublings := min(max(failures-firstReadTries+1, 0), 8)
+	ctx, cancel := context.WithTimeout(ctx, min(firstReadWait<<doublings, maxReadWait))
+	defer cancel()
+	return m.read(ctx)
+}
+
 // read takes over all keys at once and delivers what differs from the copy.
 func (m *Mirror) read(ctx context.Context) error {
 	result, err := m.config.KV.Range(ctx, m.config.Prefix)
