gateway: watchers are chosen among strong VMs

The watchers are the same at each play, read the news of all engines seven times a second and pass it on to 300 others, and a fifth of the VMs or more has a quarter of the largest's processor.

Change: daemons announce their VM's cores, and watchers are chosen among those with half of the most, with tests.

--- a/internal/fleet/types.go
+++ b/internal/fleet/types.go
@@ -23,6 +23,8 @@
 	Mesh string `json:"mesh"`
 	// Boot names the process: the Unix time of its start in milliseconds.
 	Boot int64 `json:"boot"`
+	// Cores is the processor time that the VM may use, in cores; 0 if unknown.
+	Cores float64 `json:"cores,omitempty"`
 	// Draining tells that the daemon is about to end.
 	Draining bool `json:"draining,omitempty"`
 }
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -25,6 +25,8 @@
 	// Seeds are addresses of some other daemons.
 	Seeds    []string
 	MemoryMB int
+	// Cores is the processor time that this VM may use, in cores; 0 if unknown.
+	Cores    float64
 	MaxFiles int
 	// Grace is the time from the request to stop until the process is killed.
 	Grace time.Duration
--- a/internal/gateway/watchers.go
+++ b/internal/gateway/watchers.go
@@ -1,8 +1,10 @@
 package gateway
 
 import (
+	"slices"
 	"time"
 
+	"github.com/barleylift/barleylift/internal/fleet"
 	"github.com/barleylift/barleylift/internal/infra"
 	"github.com/barleylift/barleylift/internal/mesh"
 	"github.com/barleylift/barleylift/internal/mirror"
@@ -22,6 +24,9 @@
 	// restShare is the other daemons' rest, as a share of the time in which a
 	// change must be in force: a change may come right after an answer.
 	restShare = 0.45
+	// strongShare is the least part of the strongest VM's cores that a watcher
+	// has: VMs of one fleet differ by up to four times.
+	strongShare = 0.5
 	// watcherKey is what the daemons are ranked for.
 	watcherKey = "watchers"
 	// maxToldValue bounds the values that are passed on, in bytes: one datagram.
@@ -34,19 +39,36 @@
 	if self.Draining {
 		return false
 	}
-	candidates := []placement.Candidate{{Engine: self.Name}}
+	able := []fleet.Member{self}
 	for _, m := range g.members() {
 		p, heard := g.peers.get(m.Name)
 		if !m.Draining && m.Name != self.Name && !(heard && p.storeDown) {
+			able = append(able, m)
+		}
+	}
+	return slices.Contains(watchersOf(able), self.Name)
+}
+
+// watchersOf chooses the watchers among daemons that reach the service: by
+// rendezvous order among those on strong VMs. A watcher reads the news of all
+// engines several times a second and passes it on to all daemons; a weak VM
+// falls behind with that in a large fleet, and with its own configuration.
+func watchersOf(members []fleet.Member) []string {
+	strongest := 0.0
+	for _, m := range members {
+		strongest = max(strongest, m.Cores)
+	}
+	var candidates []placement.Candidate
+	for _, m := range members {
+		if m.Cores >= strongShare*strongest {
 			candidates = append(candidates, placement.Candidate{Engine: m.Name})
 		}
 	}
+	var names []string
 	for _, c := range placement.Rank(candidates, watcherKey, watcherCount) {
-		if c.Engine == self.Name {
-			return true
-		}
+		names = append(names, c.Engine)
 	}
-	return false
+	return names
 }
 
 func (g *Gateway) setWatchPause() {
--- /dev/null
+++ b/internal/gateway/watchers_test.go
@@ -0,0 +1,52 @@
+package gateway
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/barleylift/barleylift/internal/fleet"
+)
+
+// Of many VMs of uneven size a strong one watches, the same for all daemons,
+// and another one takes its place when it is gone.
+func TestWatchersAreOnStrongVMs(t *testing.T) {
+	var members []fleet.Member
+	for i := range 300 {
+		m := fleet.Member{Name: fmt.Sprintf("vm-%03d", i), Cores: 0.192}
+		if i%10 == 0 {
+			m.Cores = 0.8
+		}
+		members = append(members, m)
+	}
+	first := watchersOf(members)
+	if len(first) != watcherCount {
+		t.Fatalf("%d watchers, want %d", len(first), watcherCount)
+	}
+	cores := make(map[string]float64)
+	var rest []fleet.Member
+	for _, m := range members {
+		cores[m.Name] = m.Cores
+		if m.Name != first[0] {
+			rest = append(rest, m)
+		}
+	}
+	for _, name := range first {
+		if cores[name] < 0.8 {
+			t.Errorf("watcher %s has %.3f cores", name, cores[name])
+		}
+	}
+	if next := watchersOf(rest); next[0] != first[1] {
+		t.Errorf("%s takes the place of a lost watcher, want %s, the second", next[0], first[1])
+	}
+}
+
+// Where sizes are equal, or not told, every daemon may watch.
+func TestWatchersWithoutSizes(t *testing.T) {
+	members := []fleet.Member{{Name: "a"}, {Name: "b"}, {Name: "c"}}
+	if got := watchersOf(members); len(got) != watcherCount {
+		t.Errorf("watchers are %v", got)
+	}
+	if got := watchersOf(members[:1]); len(got) != 1 || got[0] != "a" {
+		t.Errorf("of one daemon, watchers are %v", got)
+	}
+}
