residency: a large start of engines keeps the rate of model loads

Extending the test of the delays to sizes between the deployments found a fault: 600 engines at 40 loads a second would load 313 models in five seconds, where the rate allows 223. Cause: the time that all need was shortened by a window, so that the rate was exceeded by the more, the less of the start lay beyond it. The test had also allowed a fifth over the bound, and windows at fixed places only.

The test plays batches as daemons see them, in sliding windows, with the platform's bound as it is.

Settings that nothing used are gone.

--- a/internal/gateway/apply.go
+++ b/internal/gateway/apply.go
@@ -79,9 +79,8 @@
 	}
 	delete(g.missing, upstream.ID)
 	g.upstreams[upstream.ID] = upstream
-	key := processKey{upstream.ID, upstream.Born}
-	if _, seen := g.firstSeen[key]; !seen {
-		g.firstSeen[key] = clock.Boot()
+	if ok && upstream.Born != known.Born {
+		delete(g.modelFrom, processKey{known.ID, known.Born})
 	}
 	g.mu.Unlock()
 	g.locator.SetUpstream(upstream)
@@ -121,7 +120,7 @@
 		if now >= due {
 			gone = append(gone, id)
 			delete(g.missing, id)
-			delete(g.firstSeen, processKey{id, g.upstreams[id].Born})
+			delete(g.modelFrom, processKey{id, g.upstreams[id].Born})
 			delete(g.upstreams, id)
 		}
 	}
@@ -185,13 +184,23 @@
 	g.orders.Assign(ctx, assignments)
 }
 
+// engineCount counts a service's engines, and those without a base model.
+type engineCount struct {
+	all, lacking int
+}
+
 // engines lists the model engines that are registered, with what each can hold.
 func (g *Gateway) engines(table *routing.Table) []orders.Assignment {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	count := make(map[string]int)
+	counts := make(map[string]engineCount)
 	for _, u := range g.upstreams {
-		count[u.Service]++
+		count := counts[u.Service]
+		count.all++
+		if len(u.Models) == 0 {
+			count.lacking++
+		}
+		counts[u.Service] = count
 	}
 	var list []orders.Assignment
 	for _, u := range g.upstreams {
@@ -199,15 +208,15 @@
 		if service == nil || service.Engines == nil {
 			continue
 		}
-		seen := g.firstSeen[processKey{u.ID, u.Born}]
-		list = append(list, orders.Assignment{Engine: u, Spec: specOf(u, service.Engines, count[u.Service], seen)})
+		list = append(list, orders.Assignment{Engine: u, Spec: g.specOf(u, service.Engines, counts[u.Service])})
 	}
 	return list
 }
 
 // specOf tells what an engine is to hold: the base model that it has, or else
-// one that its identifier chooses.
-func specOf(u topology.Upstream, spec *routing.EngineSpec, engines int, seen time.Duration) residency.Spec {
+// one that its identifier chooses. When it may load that is decided once, by
+// the engines that lacked their model then. The caller holds mu.
+func (g *Gateway) specOf(u topology.Upstream, spec *routing.EngineSpec, count engineCount) residency.Spec {
 	model := spec.Models[residency.Spread(u.ID, len(spec.Models))]
 	for _, held := range u.Models {
 		if known, ok := spec.Model(held.Name); ok {
@@ -215,9 +224,15 @@
 			break
 		}
 	}
+	key := processKey{u.ID, u.Born}
+	from, decided := g.modelFrom[key]
+	if !decided {
+		from = clock.Boot() + residency.ModelDelay(u.ID, count.lacking, count.all, spec.LoadsPerSecond)
+		g.modelFrom[key] = from
+	}
 	return residency.Spec{
 		Capacity:  spec.AdapterCapacity([]string{model.Name}),
 		Model:     model.Name,
-		ModelFrom: seen + residency.ModelDelay(u.ID, engines, spec.LoadsPerSecond),
+		ModelFrom: from,
 	}
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -73,8 +73,8 @@
 	upstreams map[string]topology.Upstream
 	// missing maps upstreams without a registration to when they count as gone.
 	missing map[string]time.Duration
-	// firstSeen is when an engine's process was first seen.
-	firstSeen map[processKey]time.Duration
+	// modelFrom is when an engine's process may load its base model.
+	modelFrom map[processKey]time.Duration
 	// reassign asks for new assignments of engines.
 	reassign chan struct{}
 }
@@ -107,7 +107,7 @@
 		budgets:   newBudgets(s.Budget),
 		upstreams: make(map[string]topology.Upstream),
 		missing:   make(map[string]time.Duration),
-		firstSeen: make(map[processKey]time.Duration),
+		modelFrom: make(map[processKey]time.Duration),
 		reassign:  make(chan struct{}, 1),
 		peers:     newPeers(),
 		telling:   rate.NewLimiter(tellRate, tellBurst),
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -20,14 +20,11 @@
 	// Status is where operators ask for the daemon's state; invalid for none.
 	Status netip.AddrPort
 	// Mesh is this daemon's address for datagrams of other daemons.
-	Mesh  netip.AddrPort
-	Store netip.AddrPort
-	// Seeds are addresses of some other daemons.
-	Seeds    []string
+	Mesh     netip.AddrPort
+	Store    netip.AddrPort
 	MemoryMB int
 	// Cores is the processor time that this VM may use, in cores; 0 if unknown.
-	Cores    float64
-	MaxFiles int
+	Cores float64
 	// Grace is the time from the request to stop until the process is killed.
 	Grace time.Duration
 	// Quiet is how long an engine must have got no order before another
--- a/internal/orders/worker.go
+++ b/internal/orders/worker.go
@@ -229,13 +229,13 @@
 			state.Running += r.requests
 		}
 	}
-	state.Users = w.lateUsers(now)
+	state.Users = w.recentUsers(now)
 	return state, true
 }
 
-// lateUsers returns the entries that have used the engine lately. The caller
+// recentUsers returns the entries that have used the engine lately. The caller
 // holds mu.
-func (w *worker) lateUsers(now time.Duration) []string {
+func (w *worker) recentUsers(now time.Duration) []string {
 	var list []string
 	for entry, used := range w.users {
 		if now-used > userMemory {
--- a/internal/residency/engine_test.go
+++ b/internal/residency/engine_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -373,19 +374,43 @@
 	}
 }
 
+// The load of a start, or of a restart, of all engines, which daemons see in
+// batches: in no window more base models are loaded than the rate allows. The
+// sizes are those of today's deployments, once grown, between and at the target.
 func TestModelDelaySpreadsALargeStart(t *testing.T) {
-	if d := ModelDelay("e", 9, 2.1); d != 0 {
-		t.Errorf("few engines wait %v", d)
-	}
-	const engines, rate = 2700, 60.0
-	window := make(map[int]int)
-	for i := range engines {
-		window[int(ModelDelay(fmt.Sprint("engine-", i), engines, rate)/loadWindow)]++
-	}
-	for w, n := range window {
+	const batches, between = 10, 150 * time.Millisecond
+	tests := []struct {
+		engines int
+		rate    float64
+	}{{9, 2.1}, {12, 2.1}, {14, 2.1}, {60, 17}, {140, 40}, {230, 40}, {600, 40}, {2700, 60}}
+	for _, test := range tests {
+		var loads []time.Duration
+		for i := range test.engines {
+			batch := i * batches / test.engines
+			seen := (batch + 1) * test.engines / batches
+			delay := ModelDelay(fmt.Sprint("engine-", i), seen, test.engines, test.rate)
+			loads = append(loads, time.Duration(batch)*between+delay)
+		}
+		slices.Sort(loads)
 		// Bound of the platform: a tenth and three loads over the rate.
-		if limit := int(rate*loadWindow.Seconds()*1.1) + 3; n > limit+limit/5 {
-			t.Errorf("window %d: %d loads, want about %d", w, n, limit)
+		limit := int(test.rate*loadWindow.Seconds()*1.1) + 3
+		for i := limit; i < len(loads); i++ {
+			if loads[i]-loads[i-limit] < loadWindow {
+				t.Errorf("%d engines at %.1f a second: more than %d loads within %v from %v on", test.engines, test.rate, limit, loadWindow, loads[i-limit])
+				break
+			}
+		}
+	}
+}
+
+// A few new engines among many do not wait.
+func TestFewNewEnginesLoadAtOnce(t *testing.T) {
+	for _, test := range []struct {
+		lacking, all int
+		rate         float64
+	}{{1, 9, 2.1}, {2, 30, 2.1}, {3, 12, 2.1}, {20, 140, 40}, {40, 2700, 40}} {
+		if d := ModelDelay("e", test.lacking, test.all, test.rate); d != 0 {
+			t.Errorf("%d of %d engines wait %v", test.lacking, test.all, d)
 		}
 	}
 }
