mirror: a short question precedes the first read

Cause: all daemons read all keys at once then, none within the bound, and each given-up read costs the service its work.

Change: while nothing is known the service is asked for keys that are not there, within 0.5 s, and then all keys are read without a bound of their own. The test counts the reads of all keys: one.

--- a/internal/mirror/first_read_test.go
+++ b/internal/mirror/first_read_test.go
@@ -15,12 +15,19 @@
 type silentKV struct {
 	*fake.KV
 	back time.Time
-	// takes is how long a read takes.
+	// takes is how long a read of all keys takes; one of few keys takes little.
 	takes time.Duration
+	// reads counts the reads of all keys that began.
+	reads int
 }
 
 func (k *silentKV) Range(ctx context.Context, prefix string) (infra.RangeResult, error) {
-	wait := time.After(k.takes)
+	takes := time.Millisecond
+	if prefix == "p/" {
+		takes = k.takes
+		k.reads++
+	}
+	wait := time.After(takes)
 	if time.Now().Before(k.back) {
 		wait = nil
 	}
@@ -34,16 +41,17 @@
 
 // The load of an outage at a restart of all daemons: they refuse every request
 // until they know a configuration, so the service's return must be found soon;
-// and a service that all read at once must not be asked for ever in vain.
+// and a read that takes long because all daemons read at once is not given up.
 func TestFirstReadComesSoonAfterTheReturn(t *testing.T) {
 	tests := []struct {
 		name        string
 		down, takes time.Duration
 		most        time.Duration
 	}{
-		{"short outage", 700 * time.Millisecond, 5 * time.Millisecond, firstReadWait + maxPause},
-		{"outage of two seconds", 2 * time.Second, 5 * time.Millisecond, firstReadWait + maxPause},
-		{"slow service", 0, 1900 * time.Millisecond, 9 * time.Second},
+		{"short outage", 700 * time.Millisecond, 5 * time.Millisecond, probeWait + maxPause},
+		{"outage of two seconds", 2 * time.Second, 5 * time.Millisecond, probeWait + maxPause},
+		{"outage of five seconds", 5 * time.Second, 5 * time.Millisecond, 8*probeWait + maxPause},
+		{"slow service", 0, 3 * time.Second, 3*time.Second + probeWait},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
@@ -56,6 +64,9 @@
 				for m.Revision() == 0 {
 					time.Sleep(10 * time.Millisecond)
 				}
+				if kv.reads != 1 {
+					t.Errorf("%d reads of all keys, want 1", kv.reads)
+				}
 				if took := time.Since(returned); took > test.most {
 					t.Errorf("the first read came %v after the return, want at most %v", took, test.most)
 				}
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -18,16 +18,18 @@
 	// maxPause bounds the doubled pause, so that a daemon is up to date well
 	// within 2 s of the service's return.
 	maxPause = 400 * time.Millisecond
-	// firstReadWait bounds the first read while nothing is known: the service
-	// answers in some milliseconds, and one that has fallen silent does not
-	// answer a call of before its return. After firstReadTries it doubles up to
-	// maxReadWait, which gives the service of a large fleet time, that all
-	// daemons read at once.
-	firstReadWait  = 500 * time.Millisecond
-	firstReadTries = 4
-	maxReadWait    = 8 * time.Second
+	// probeWait bounds the question whether the service answers while nothing is
+	// known: it answers in some milliseconds, and one that has fallen silent does
+	// not answer a call of before its return. After probeTries it doubles up to
+	// maxProbeWait, for a service that all daemons of a large fleet ask at once.
+	probeWait    = 500 * time.Millisecond
+	probeTries   = 4
+	maxProbeWait = 8 * time.Second
 )
 
+// probePrefix is that of no key.
+const probePrefix = "probe-of-no-key/"
+
 // Change is one key that was written or deleted. A deleted key has no value.
 type Change struct {
 	Entry   infra.Entry
@@ -110,7 +112,7 @@
 	for ctx.Err() == nil {
 		var err error
 		if !read {
-			err = m.readWithin(ctx, failures)
+			err = m.readAnswered(ctx, failures)
 			read = err == nil
 		}
 		if err == nil {
@@ -172,18 +174,28 @@
 	}
 }
 
-// readWithin reads all keys; before the first success within a bound that grows
-// with the failures.
-func (m *Mirror) readWithin(ctx context.Context, failures int) error {
-	if m.Revision() != 0 {
-		return m.read(ctx)
+// readAnswered reads all keys. Before the first success it asks for very little
+// first, within a bound that grows with the failures: that tells soon whether
+// the service answers, and a read of all keys is not given up half-way, which
+// would cost a large fleet's service the work for nothing.
+func (m *Mirror) readAnswered(ctx context.Context, failures int) error {
+	if m.Revision() == 0 {
+		if err := m.probe(ctx, failures); err != nil {
+			return err
+		}
 	}
-	doublings := min(max(failures-firstReadTries+1, 0), 8)
-	ctx, cancel := context.WithTimeout(ctx, min(firstReadWait<<doublings, maxReadWait))
-	defer cancel()
 	return m.read(ctx)
 }
 
+// probe asks the service for keys that are not there.
+func (m *Mirror) probe(ctx context.Context, failures int) error {
+	doublings := min(max(failures-probeTries+1, 0), 8)
+	ctx, cancel := context.WithTimeout(ctx, min(probeWait<<doublings, maxProbeWait))
+	defer cancel()
+	_, err := m.config.KV.Range(ctx, m.config.Prefix+probePrefix)
+	return err
+}
+
 // read takes over all keys at once and delivers what differs from the copy.
 func (m *Mirror) read(ctx context.Context) error {
 	result, err := m.config.KV.Range(ctx, m.config.Prefix)
