--- a/internal/gateway/telling.go
+++ b/internal/gateway/telling.go
@@ -15,7 +15,7 @@
 	// and those at once. The weakest VMs have links of 10 Mbit/s, of which this
 	// is a tenth; a full link would hold the watcher's own news back.
 	tellRate  rate.Limit = 125_000
-	tellBurst            = 250_000
+	tellBurst int        = 250_000
 	// tellOverhead is what a change takes in a datagram beside key and value,
 	// in bytes: names of fields, revisions and lengths.
 	tellOverhead = 40
