--- a/internal/relay/rest_test.go
+++ b/internal/relay/rest_test.go
@@ -31,7 +31,8 @@
 func (bareProtocol) Header(*Call, Sending) http.Header    { return http.Header{} }
 func (bareProtocol) Head(int, http.Header) Head           { return Head{} }
 func (bareProtocol) AnswerHeader(http.Header) http.Header { return http.Header{} }
-func (bareProtocol) Refuse(w http.ResponseWriter, _ *Call, status int, _ time.Duration, _ string) {
+func (bareProtocol) Refuse(w http.ResponseWriter, _ *Call, status int, retryAfter time.Duration, _ string) {
+	w.Header().Set("Retry-After", retryAfter.String())
 	w.WriteHeader(status)
 }
 
@@ -80,6 +81,18 @@
 	return r, engines
 }
 
+// A daemon that knows no configuration can't tell what it serves: it sends
+// callers away for a moment, and does not answer that there is no such route.
+func TestWithoutAConfigurationCallersAreToldToComeBack(t *testing.T) {
+	r, _ := newTestRelay(t, func(*locator.Locator, string, locator.Ask) bool { return false })
+	r.table.Store(nil)
+	answer := httptest.NewRecorder()
+	r.ServeHTTP(answer, httptest.NewRequest(http.MethodPost, "/s/", nil))
+	if after := answer.Header().Get("Retry-After"); answer.Code != http.StatusServiceUnavailable || after != unknownRetryAfter.String() {
+		t.Errorf("status %d, come back after %q", answer.Code, after)
+	}
+}
+
 // Owners that decline at once, as all do while a fleet starts, are not asked
 // again without a rest: a request that spun took its daemon's whole processor.
 func TestDeclinedRequestsRestBetweenChoices(t *testing.T) {
