--- a/internal/gateway/apply.go
+++ b/internal/gateway/apply.go
@@ -22,10 +22,10 @@
 func (g *Gateway) apply(changes []mirror.Change, revision int64) {
 	var telling []toldChange
 	for _, change := range changes {
-		if u := g.urgencyOf(change); u > routine {
+		update, err := g.platform.Decode(change)
+		if u := g.urgencyOf(change, update, err); u > routine {
 			telling = append(telling, toldChange{change, u})
 		}
-		update, err := g.platform.Decode(change)
 		if err != nil {
 			g.log.Warn("unusable value in the key-value service", "key", change.Entry.Key, "revision", change.Entry.ModRevision, "error", err)
 		}
--- a/internal/gateway/budgets.go
+++ b/internal/gateway/budgets.go
@@ -48,7 +48,7 @@
 	budget, err := limit.NewRetryBudget(limit.RetryBudgetConfig{
 		Share:  b.settings.Share * budgetMargin,
 		Window: time.Duration(float64(b.settings.Window) * budgetWindowFactor),
-		Floor:  int(math.Floor(b.settings.Slack * budgetMargin / float64(b.members))),
+		Floor:  b.floor(),
 	})
 	if err != nil {
 		// Settings.Check and the constants above rule this out.
@@ -67,10 +67,15 @@
 	}
 	b.members = members
 	for _, budget := range b.services {
-		budget.SetFloor(int(math.Floor(b.settings.Slack * budgetMargin / float64(members))))
+		budget.SetFloor(b.floor())
 	}
 }
 
+// floor is this daemon's part of the slack. The caller holds mu.
+func (b *budgets) floor() int {
+	return int(math.Floor(b.settings.Slack * budgetMargin / float64(b.members)))
+}
+
 // memberCount returns the number of daemons that share bounds.
 func (b *budgets) memberCount() int {
 	b.mu.Lock()
--- a/internal/gateway/notices.go
+++ b/internal/gateway/notices.go
@@ -407,7 +407,7 @@
 
 func stateMessage(state orders.State) mesh.EngineState {
 	message := mesh.EngineState{
-		Engine: state.Engine, Born: state.Born, Orders: state.Orders, Running: state.Running, Loads: state.Loads, Waiting: state.Waiting,
+		Engine: state.Engine, Born: state.Born, Running: state.Running, Loads: state.Loads, Waiting: state.Waiting,
 	}
 	for _, held := range state.Held {
 		message.Held = append(message.Held, mesh.HeldAdapter{Model: held.Adapter.Model, Adapter: held.Adapter.Name, Version: held.Version})
@@ -417,7 +417,7 @@
 
 func stateOf(message mesh.EngineState) orders.State {
 	state := orders.State{
-		Engine: message.Engine, Born: message.Born, Orders: message.Orders, Running: message.Running, Loads: message.Loads, Waiting: message.Waiting,
+		Engine: message.Engine, Born: message.Born, Running: message.Running, Loads: message.Loads, Waiting: message.Waiting,
 	}
 	for _, held := range message.Held {
 		state.Held = append(state.Held, residency.Held{
--- a/internal/gateway/pools.go
+++ b/internal/gateway/pools.go
@@ -19,6 +19,11 @@
 	control  *hop.Pool
 }
 
+func (u *upstreamPools) close() {
+	u.requests.Close()
+	u.control.Close()
+}
+
 // pools holds the connections to all upstreams. It is safe for concurrent use.
 type pools struct {
 	// mu guards the fields below; it is not held during I/O.
@@ -38,8 +43,7 @@
 	defer p.mu.Unlock()
 	u := p.byID[upstream.ID]
 	if u != nil && (u.upstream.Address != upstream.Address || u.upstream.Born != upstream.Born) {
-		u.requests.Close()
-		u.control.Close()
+		u.close()
 		u = nil
 	}
 	if u == nil {
@@ -55,8 +59,8 @@
 }
 
 // Sender implements relay.Senders.
-func (p *pools) Sender(upstream topology.Upstream) (*hop.Pool, bool) {
-	return p.of(upstream).requests, true
+func (p *pools) Sender(upstream topology.Upstream) *hop.Pool {
+	return p.of(upstream).requests
 }
 
 // Control implements ControlPools.
@@ -71,8 +75,7 @@
 	delete(p.byID, id)
 	p.mu.Unlock()
 	if u != nil {
-		u.requests.Close()
-		u.control.Close()
+		u.close()
 	}
 }
 
--- a/internal/gateway/watchers.go
+++ b/internal/gateway/watchers.go
@@ -93,17 +93,17 @@
 	urgent
 )
 
-// urgencyOf judges a change that has not been applied yet.
-func (g *Gateway) urgencyOf(change mirror.Change) urgency {
+// urgencyOf judges a change that has not been applied yet, by what it was
+// decoded to.
+func (g *Gateway) urgencyOf(change mirror.Change, update Update, undecoded error) urgency {
 	if len(change.Entry.Value) > maxToldValue {
 		return routine
 	}
 	if change.Deleted {
 		return urgent
 	}
-	update, err := g.platform.Decode(change)
 	switch {
-	case err != nil || update.Config != nil:
+	case undecoded != nil || update.Config != nil:
 		return routine
 	case update.Version != nil:
 		return urgent
--- a/internal/mesh/packet.go
+++ b/internal/mesh/packet.go
@@ -59,7 +59,6 @@
 type EngineState struct {
 	Engine  string        `cbor:"1,keyasint"`
 	Born    int64         `cbor:"2,keyasint,omitempty"`
-	Orders  int64         `cbor:"3,keyasint,omitempty"`
 	Running int           `cbor:"4,keyasint,omitempty"`
 	Loads   int           `cbor:"5,keyasint,omitempty"`
 	Held    []HeldAdapter `cbor:"6,keyasint,omitempty"`
--- a/internal/orders/pool.go
+++ b/internal/orders/pool.go
@@ -75,7 +75,6 @@
 type State struct {
 	Engine string
 	Born   int64
-	Orders int64
 	// Running is the number of requests that all entries run there.
 	Running int
 	// Loads is the number of adapters that wait for a load.
--- a/internal/orders/worker.go
+++ b/internal/orders/worker.go
@@ -169,7 +169,7 @@
 	if w.missed >= absentAfter {
 		return residency.Absent
 	}
-	if _, known := w.engine.Known(); !known && !w.allowed {
+	if !w.engine.Known() && !w.allowed {
 		if held, ok := w.upstream.VersionOf(adapter); ok && held >= version || adapter.Name == "" && w.upstream.Holds(adapter.Model) {
 			return residency.Ready
 		}
@@ -212,14 +212,12 @@
 func (w *worker) state(now time.Duration) (State, bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	orders, known := w.engine.Known()
-	if !known || !w.allowed {
+	if !w.engine.Known() || !w.allowed {
 		return State{}, false
 	}
 	state := State{
 		Engine: w.upstream.ID,
 		Born:   w.engine.Born(),
-		Orders: orders,
 		Loads:  w.engine.Loads(),
 		Held:   w.engine.Held(),
 	}
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -200,10 +200,6 @@
 
 // send sends the request to an upstream and reads the head of the answer.
 func (e *exchange) send(ctx context.Context, upstream topology.Upstream, sending Sending, maxIdle time.Duration) sent {
-	pool, ok := e.relay.config.Senders.Sender(upstream)
-	if !ok {
-		return sent{err: errGone}
-	}
 	protocol := e.relay.config.Protocol
 	sending.Upstream = upstream.ID
 	sending.TimeLeft = e.timeLeft()
@@ -214,7 +210,7 @@
 		Header: protocol.Header(e.call, sending),
 		Body:   e.body,
 	}
-	response, err := pool.Send(ctx, request, hop.Options{
+	response, err := e.relay.config.Senders.Sender(upstream).Send(ctx, request, hop.Options{
 		MaxIdle: maxIdle,
 		Ours: func(header http.Header) bool {
 			id := protocol.Head(0, header).RequestID
@@ -250,7 +246,6 @@
 }
 
 var (
-	errGone = errors.New("the upstream is gone or leaving")
 	// errUnfoundedRefusal stands for an answer whose status would promise the
 	// caller what the upstream does not state.
 	errUnfoundedRefusal = errors.New("the upstream refused the request and did not state that it has not run")
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -18,9 +18,8 @@
 
 // Senders gives the connections to upstreams.
 type Senders interface {
-	// Sender returns the pool of connections to an upstream's process; false
-	// if it is gone or leaving.
-	Sender(upstream topology.Upstream) (*hop.Pool, bool)
+	// Sender returns the pool of connections to an upstream's process.
+	Sender(upstream topology.Upstream) *hop.Pool
 }
 
 // Metrics counts what happens to requests.
--- a/internal/relay/rest_test.go
+++ b/internal/relay/rest_test.go
@@ -38,7 +38,7 @@
 
 type noSenders struct{}
 
-func (noSenders) Sender(topology.Upstream) (*hop.Pool, bool) { return nil, false }
+func (noSenders) Sender(topology.Upstream) *hop.Pool { return nil }
 
 // newTestRelay returns a relay with one route to engines, whose owners answer
 // asks as the function says.
--- a/internal/residency/engine.go
+++ b/internal/residency/engine.go
@@ -368,10 +368,9 @@
 	return ok
 }
 
-// Known reports whether the state is that of the engine, and the number of
-// orders that it has accepted.
-func (e *Engine) Known() (orders int64, known bool) {
-	return e.orders, e.known
+// Known reports whether the state is that of the engine.
+func (e *Engine) Known() bool {
+	return e.known
 }
 
 // Loads returns the number of adapters that wait for a load or are on their way.
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -90,13 +90,6 @@
 	return t.services[name]
 }
 
-// Services calls yield for each service.
-func (t *Table) Services(yield func(*Service)) {
-	for _, service := range t.services {
-		yield(service)
-	}
-}
-
 // Match returns the route of the host whose prefix is the longest one that
 // begins the path, or nil. The host may carry a port.
 func (t *Table) Match(host, path string) *Route {
--- a/internal/steer/engine.go
+++ b/internal/steer/engine.go
@@ -71,7 +71,7 @@
 // number of the request's own; it shares the work of spreading a hot adapter
 // out among the requests that wait for it.
 func Pick(adapter topology.Adapter, engines []Engine, lot uint64) (Choice, bool) {
-	engines = preferSound(engines)
+	engines = without(engines, isSuspect)
 	if len(engines) == 0 {
 		return Choice{}, false
 	}
@@ -88,7 +88,7 @@
 		}
 	}
 	if len(holders) == 0 && len(outdated) == 0 {
-		return Choice{Engine: home(adapter, withoutOlder(engines)), Load: true}, true
+		return Choice{Engine: home(adapter, without(engines, isOlder)), Load: true}, true
 	}
 	best := leastOf(holders, outdated)
 	choice := Choice{Engine: best.ID}
@@ -117,21 +117,25 @@
 	return newer
 }
 
-// withoutOlder leaves engines with an older version out if others are left.
-func withoutOlder(engines []Engine) []Engine {
-	list := slices.DeleteFunc(slices.Clone(engines), func(e Engine) bool { return e.Older })
+// without leaves engines out if others are left. It returns a new list.
+func without(engines []Engine, unwanted func(Engine) bool) []Engine {
+	list := slices.DeleteFunc(slices.Clone(engines), unwanted)
 	if len(list) == 0 {
-		return engines
+		return slices.Clone(engines)
 	}
 	return list
 }
 
+func isOlder(e Engine) bool     { return e.Older }
+func isSuspect(e Engine) bool   { return e.Suspect }
+func isOrderless(e Engine) bool { return e.Orderless }
+
 // successor returns an engine on which a new version is loaded while the older
 // one still serves: one of n without the older version, which would first have
 // to end its requests. So many engines take a hot adapter's place in time that
 // its requests find as many as before when the older version is over.
 func successor(adapter topology.Adapter, engines []Engine, n int, lot uint64) string {
-	free := slices.DeleteFunc(slices.Clone(withoutOlder(engines)), func(e Engine) bool { return e.Orderless })
+	free := slices.DeleteFunc(without(engines, isOlder), isOrderless)
 	if len(free) == 0 {
 		return home(adapter, engines)
 	}
@@ -139,20 +143,6 @@
 	return chosen[lot%uint64(len(chosen))].ID
 }
 
-// preferSound leaves suspect engines out if others are left.
-func preferSound(engines []Engine) []Engine {
-	sound := make([]Engine, 0, len(engines))
-	for _, e := range engines {
-		if !e.Suspect {
-			sound = append(sound, e)
-		}
-	}
-	if len(sound) == 0 {
-		return engines
-	}
-	return sound
-}
-
 // least returns the engine with the least load.
 func least(engines []Engine) Engine {
 	return slices.MinFunc(engines, func(a, b Engine) int {
--- a/internal/topology/upstream.go
+++ b/internal/topology/upstream.go
@@ -96,12 +96,7 @@
 	// Loading lists adapters on their way into the engine.
 	Loading []LoadingAdapter
 	// Busy tells that a base model is being loaded or unloaded.
-	Busy    bool
-	Running int
-	Queued  int
-	// MemoryUsed and MemoryTotal are in tokens of KV cache.
-	MemoryUsed  int64
-	MemoryTotal int64
+	Busy bool
 }
 
 // LoadingAdapter is an adapter on its way into an engine.
