steer, orders: cold adapters stay at their home under load, and don't count as a queue

Change: a home is left only if it has eight loads more pending than the next engine. The queue that an owner reports counts the requests that wait for room in the batch; requests that wait for their adapter's load are no longer in it. Tests: a steer case and TestRequestsForColdAdaptersDoNotCountAsQueued failed before.

--- a/internal/admission/gate.go
+++ b/internal/admission/gate.go
@@ -149,9 +149,17 @@
 	g.prefillPerToken += time.Duration(weight * float64(sample-g.prefillPerToken))
 }
 
-// Waiting returns the number of requests that wait for admission.
-func (g *Gate) Waiting() int {
-	return len(g.waiting)
+// WaitingForBatch returns the number of requests that wait for room in the
+// engine's batch. Those that wait for their adapter's load are not counted: they
+// don't delay requests for adapters that the engine holds.
+func (g *Gate) WaitingForBatch(status func(topology.Adapter, int64) residency.Status) int {
+	n := 0
+	for _, w := range g.waiting {
+		if status(w.Adapter, w.Version) == residency.Ready {
+			n++
+		}
+	}
+	return n
 }
 
 func (g *Gate) prefillTime(tokens int) time.Duration {
--- a/internal/locator/view.go
+++ b/internal/locator/view.go
@@ -37,8 +37,8 @@
 	// what it was when the owner's last state arrived.
 	running        int
 	runningAtState int
-	// waiting is the number of this entry's requests that wait for admission
-	// there, and waitingAtState what it was at the owner's last report.
+	// waiting is the number of this entry's requests that wait for room in the
+	// engine's batch, and waitingAtState what it was at the owner's last report.
 	waiting        int
 	waitingAtState int
 	uses           map[topology.Adapter]*use
@@ -127,7 +127,7 @@
 	return v.running + max(v.state.Running-v.runningAtState, 0)
 }
 
-// estimateWaiting estimates the number of requests that wait for admission.
+// estimateWaiting estimates the number of requests that wait for the batch.
 func (v *view) estimateWaiting(now time.Duration) int {
 	if !v.hasState || now-v.stateReceivedAt > stateTTL {
 		return v.waiting
--- a/internal/locator/wait.go
+++ b/internal/locator/wait.go
@@ -35,6 +35,9 @@
 	// caller's deadline passes, as readings of clock.Boot.
 	FirstEventDue time.Duration
 	Deadline      time.Duration
+	// NeedsLoad is set if the adapter must be loaded first. The request then does
+	// not count as waiting for the engine's batch.
+	NeedsLoad bool
 }
 
 // Admission is the outcome of an AdmissionRequest.
@@ -61,13 +64,15 @@
 type wait struct {
 	// statuses receives the owner's answers; it has room for the final one.
 	statuses chan residency.Status
+	// forBatch is set if the request waits for room in the engine's batch.
+	forBatch bool
 }
 
 // AwaitAdmission requests admission to an engine, and repeats the request until
 // the owner decides, does not answer in time, or ctx ends.
 func (l *Locator) AwaitAdmission(ctx context.Context, engine string, request AdmissionRequest) Admission {
 	request.Version = l.requestVersion(engine, request.Adapter)
-	w := l.startWait(engine, request.Ticket)
+	w := l.startWait(engine, request.Ticket, !request.NeedsLoad)
 	defer l.endWait(engine, request.Ticket)
 	lastAnswerAt := clock.Boot()
 	ticker := time.NewTicker(requestInterval)
@@ -166,13 +171,13 @@
 	ticket uint64
 }
 
-func (l *Locator) startWait(engine string, ticket uint64) *wait {
+func (l *Locator) startWait(engine string, ticket uint64, forBatch bool) *wait {
 	const bufferSize = 8
-	w := &wait{statuses: make(chan residency.Status, bufferSize)}
+	w := &wait{statuses: make(chan residency.Status, bufferSize), forBatch: forBatch}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.waits[waitKey{engine, ticket}] = w
-	if v := l.views[engine]; v != nil {
+	if v := l.views[engine]; v != nil && forBatch {
 		v.waiting++
 	}
 	return w
@@ -184,7 +189,7 @@
 	l.mu.Lock()
 	w := l.waits[key]
 	delete(l.waits, key)
-	if v := l.views[engine]; v != nil {
+	if v := l.views[engine]; v != nil && w.forBatch {
 		v.waiting--
 	}
 	unused := !l.admitted[key] && hasUnreadAdmission(w)
--- a/internal/mesh/packet.go
+++ b/internal/mesh/packet.go
@@ -98,7 +98,7 @@
 	Engine string `cbor:"1,keyasint"`
 	Ticket uint64 `cbor:"2,keyasint"`
 	Status int    `cbor:"3,keyasint,omitempty"`
-	// Waiting is the number of requests that wait for admission there.
+	// Waiting is the number of requests that wait for room in the engine's batch.
 	Waiting int `cbor:"4,keyasint,omitempty"`
 }
 
--- a/internal/orders/pool.go
+++ b/internal/orders/pool.go
@@ -62,7 +62,7 @@
 	Engine string
 	Ticket uint64
 	Status residency.Status
-	// Waiting is the number of requests that wait for admission there.
+	// Waiting is the number of requests that wait for room in the engine's batch.
 	Waiting int
 }
 
@@ -80,7 +80,7 @@
 	Running int
 	// PendingLoads is the number of adapters that are being loaded or wait for it.
 	PendingLoads int
-	// Waiting is the number of requests that wait for admission.
+	// Waiting is the number of requests that wait for room in the engine's batch.
 	Waiting int
 	Held    []residency.HeldAdapter
 	// RecentUsers lists the entries that have used the engine within recentUserTTL.
--- a/internal/orders/worker.go
+++ b/internal/orders/worker.go
@@ -111,13 +111,13 @@
 }
 
 // requestAdmission returns a request's status and the number of requests that
-// wait at the engine.
+// wait for the engine's batch.
 func (w *worker) requestAdmission(now time.Duration, request admission.Request) (residency.Status, int) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.lastUsedAt[request.Key.Entry] = now
 	status := w.tryAdmit(now, request)
-	return status, w.gate.Waiting()
+	return status, w.gate.WaitingForBatch(w.status)
 }
 
 // tryAdmit queues a request for admission, unless the engine can't take it,
@@ -194,14 +194,16 @@
 // caller returns. The caller holds mu; reporting does no blocking I/O.
 func (w *worker) admitWaiting(now time.Duration, callerKey admission.Key) {
 	free := w.upstream.Slots - w.engine.Running()
-	for _, d := range w.gate.Next(now, free, w.status) {
+	decisions := w.gate.Next(now, free, w.status)
+	waiting := w.gate.WaitingForBatch(w.status)
+	for _, d := range decisions {
 		if d.Status == residency.Ready {
 			w.engine.RecordAdmission(now, d.Key.Entry, d.Key.Ticket, d.Adapter)
 		}
 		if d.Key == callerKey {
 			continue
 		}
-		w.pool.config.ReportStatus(d.Key.Entry, AdmissionStatus{Engine: w.upstream.ID, Ticket: d.Key.Ticket, Status: d.Status, Waiting: w.gate.Waiting()})
+		w.pool.config.ReportStatus(d.Key.Entry, AdmissionStatus{Engine: w.upstream.ID, Ticket: d.Key.Ticket, Status: d.Status, Waiting: waiting})
 	}
 }
 
@@ -229,7 +231,7 @@
 		PendingLoads: w.engine.PendingLoads(),
 		Held:         w.engine.HeldAdapters(),
 	}
-	state.Waiting = w.gate.Waiting()
+	state.Waiting = w.gate.WaitingForBatch(w.status)
 	for _, r := range w.runningByEntry {
 		if now-r.reportedAt < runningCountTTL {
 			state.Running += r.requests
--- a/internal/orders/worker_test.go
+++ b/internal/orders/worker_test.go
@@ -99,3 +99,37 @@
 		})
 	}
 }
+
+// The load: several requests wait for adapters that are being loaded, none for
+// the engine's batch. Entries must not take the loads for a long queue: they
+// would load the adapters that the engine holds at other engines too.
+func TestRequestsForColdAdaptersDoNotCountAsQueued(t *testing.T) {
+	pool, err := New(Config{
+		Client: &unreachableClient{}, Holder: "vm",
+		MayOrder:     func(string) (fleet.Token, bool) { return 1, true },
+		ReportStatus: func(string, AdmissionStatus) {},
+		Log:          slog.New(slog.NewTextHandler(io.Discard, nil)),
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	engine := topology.Upstream{ID: "e", Incarnation: 1, Slots: 4}
+	pool.Assign(t.Context(), []Assignment{{Engine: engine, Spec: residency.Spec{Capacity: 8, Model: "base"}}})
+	request := func(ticket uint64, adapter topology.Adapter) AdmissionStatus {
+		return pool.RequestAdmission("e", admission.Request{
+			Key: admission.Key{Entry: "vm", Ticket: ticket}, Adapter: adapter, PromptTokens: 10, PauseObjective: time.Second,
+			FirstEventDue: clock.Boot() + time.Second, Deadline: clock.Boot() + time.Minute,
+		})
+	}
+	for request(1, climb).Status != residency.Ready {
+		time.Sleep(time.Millisecond)
+	}
+	for ticket, name := range map[uint64]string{2: "cold-1", 3: "cold-2", 4: "cold-3"} {
+		if status := request(ticket, topology.Adapter{Model: "base", Name: name}); status.Status != residency.Waiting || status.Waiting != 0 {
+			t.Errorf("request for %s: %+v, want it to wait, with no request waiting for the batch", name, status)
+		}
+	}
+	if status := request(5, climb); status.Status != residency.Waiting || status.Waiting != 1 {
+		t.Errorf("request for the held adapter: %+v, want one that waits for the batch", status)
+	}
+}
--- a/internal/relay/model.go
+++ b/internal/relay/model.go
@@ -112,6 +112,7 @@
 		PauseObjective: e.route.PauseObjective,
 		FirstEventDue:  now + e.route.LatencyObjective - time.Since(e.arrivedAt),
 		Deadline:       now + e.timeLeft(),
+		NeedsLoad:      choice.NeedsLoad,
 	})
 	if admission == locator.Declined || admission == locator.Unowned && choice.NeedsLoad {
 		e.backOff()
--- a/internal/steer/engine.go
+++ b/internal/steer/engine.go
@@ -18,8 +18,11 @@
 	// make loading the adapter there worthwhile.
 	minSpreadGain = 2
 	// pendingLoadLimit is the number of pending loads at an engine from which on
-	// a cold adapter goes to the next engine: about a second of loads.
+	// no hot adapter is spread to it: about a second of loads.
 	pendingLoadLimit = 8
+	// maxPendingExcess is how many more loads than at the next engine may be pending
+	// at an adapter's home before a cold adapter is loaded at the next one.
+	maxPendingExcess = 8
 	// loadCandidates is the number of engines, in rendezvous order, on which a
 	// cold adapter may be loaded.
 	loadCandidates = 4
@@ -55,7 +58,7 @@
 	// PendingLoads is the number of adapters that are being loaded there or wait
 	// for it.
 	PendingLoads int
-	// Queued is the number of requests that wait for admission there.
+	// Queued is the number of requests that wait for room in its batch.
 	Queued int
 	// Suspect is set if requests to the engine have failed recently.
 	Suspect bool
@@ -186,20 +189,15 @@
 }
 
 // loadTarget returns the engine on which to load a cold adapter: the first in
-// its rendezvous order that accepts loads, has few of them pending and is not
-// far more loaded than the next.
+// its rendezvous order that accepts loads and is not far busier than the next.
 func loadTarget(adapter topology.Adapter, engines []Engine) string {
 	ordered := rendezvousOrder(adapter, engines, loadCandidates)
 	for i, e := range ordered {
-		if e.LoadsPaused || e.PendingLoads >= pendingLoadLimit {
+		if e.LoadsPaused {
 			continue
 		}
-		if i+1 < len(ordered) {
-			next := ordered[i+1]
-			overloaded := e.load() > next.load()+maxQueueExcess
-			if overloaded && !next.LoadsPaused && next.PendingLoads < pendingLoadLimit {
-				continue
-			}
+		if i+1 < len(ordered) && !ordered[i+1].LoadsPaused && e.isBusierThan(ordered[i+1]) {
+			continue
 		}
 		return e.ID
 	}
@@ -215,6 +213,14 @@
 	return fewestLoads.ID
 }
 
+// isBusierThan reports whether the engine has so much more to do than the other
+// that a cold adapter is better loaded there. Where all engines have many loads
+// pending, the weight store is the bottleneck, and an adapter loaded at a second
+// engine only takes the place of another adapter's load.
+func (e Engine) isBusierThan(other Engine) bool {
+	return e.PendingLoads >= other.PendingLoads+maxPendingExcess || e.load() > other.load()+maxQueueExcess
+}
+
 // spreadTarget returns the engine on which a hot adapter should also be loaded,
 // or "" for none; best is the least loaded of its holders. The adapter is spread
 // to at most as many engines at a time as hold it, so its holders can double
--- a/internal/steer/steer_test.go
+++ b/internal/steer/steer_test.go
@@ -36,6 +36,12 @@
 		{"a cold adapter goes to its home", func([]Engine) {}, Choice{Engine: ranked[0].ID, NeedsLoad: true}},
 		{"a home with paused loads is skipped", func(e []Engine) { at(e, ranked[0].ID).LoadsPaused = true }, Choice{Engine: ranked[1].ID, NeedsLoad: true}},
 		{"a home with many pending loads is skipped", func(e []Engine) { at(e, ranked[0].ID).PendingLoads = pendingLoadLimit }, Choice{Engine: ranked[1].ID, NeedsLoad: true}},
+		{"a home with many pending loads stays if the others have almost as many", func(e []Engine) {
+			for i := range e {
+				e[i].PendingLoads = pendingLoadLimit
+			}
+			at(e, ranked[0].ID).PendingLoads++
+		}, Choice{Engine: ranked[0].ID, NeedsLoad: true}},
 		{"a home that is far more loaded than the next engine is skipped", func(e []Engine) { at(e, ranked[0].ID).Queued = maxQueueExcess + 1 }, Choice{Engine: ranked[1].ID, NeedsLoad: true}},
 		{"a holder is preferred to the home", func(e []Engine) { at(e, ranked[2].ID).Holds = true }, Choice{Engine: ranked[2].ID}},
 		{"of two holders the one with fewer waiting requests is chosen", func(e []Engine) {
