residency, admission: loads in the order of what callers gain, those in time first

Cause: an engine loaded first what had waited longest. The gate yields the demand from the requests' due times and from the time by which they are still sent, which the entry states.

--- a/internal/admission/gate.go
+++ b/internal/admission/gate.go
@@ -60,8 +60,8 @@
 	// PauseObjective is the pause objective of the request's route; 0 for the
 	// default.
 	PauseObjective time.Duration
-	// FirstEventDue is when the first event should arrive, and Deadline when the
-	// caller's time limit ends.
+	// FirstEventDue is when the first event should arrive. After Deadline the
+	// request is no longer sent.
 	FirstEventDue time.Duration
 	Deadline      time.Duration
 }
@@ -167,21 +167,38 @@
 }
 
 // WaitingAdapters calls yield for each adapter version that requests wait for,
-// with the sum of their weights.
-func (g *Gate) WaitingAdapters(yield func(adapter topology.Adapter, version int64, weight float64)) {
+// with the demand for it if a load takes loadTime from now on.
+func (g *Gate) WaitingAdapters(now, loadTime time.Duration, yield func(adapter topology.Adapter, version int64, demand residency.Demand)) {
 	type adapterVersion struct {
 		adapter topology.Adapter
 		version int64
 	}
-	sums := make(map[adapterVersion]float64)
+	demands := make(map[adapterVersion]residency.Demand)
 	for _, w := range g.waiting {
-		sums[adapterVersion{w.Adapter, w.Version}] += weight(w.Priority)
+		key := adapterVersion{w.Adapter, w.Version}
+		demand := demands[key]
+		switch {
+		case !g.isLate(now+loadTime, w):
+			if demand.Timely == 0 || w.FirstEventDue < demand.Due {
+				demand.Due = w.FirstEventDue
+			}
+			demand.Timely += weight(w.Priority)
+		case now+loadTime < w.Deadline:
+			demand.Late += weight(w.Priority)
+		}
+		demands[key] = demand
 	}
-	for key, sum := range sums {
-		yield(key.adapter, key.version, sum)
+	for key, demand := range demands {
+		yield(key.adapter, key.version, demand)
 	}
 }
 
+// isLate reports whether a request that is admitted at the given time misses its
+// objective.
+func (g *Gate) isLate(admittedAt time.Duration, w *waiter) bool {
+	return admittedAt+g.prefillTime(w.PromptTokens)+firstEventOverhead > w.FirstEventDue
+}
+
 // weight returns the weight in load requests of a request with the priority.
 func weight(priority int) float64 {
 	const lowest = 4
@@ -263,7 +280,7 @@
 // meet their objective the one due first, adjusted by priority. Every
 // lateInterval-th admission goes to the first due of those that can't.
 func (g *Gate) pick(now time.Duration, ready []*waiter) int {
-	isLate := func(w *waiter) bool { return now+g.prefillTime(w.PromptTokens)+firstEventOverhead > w.FirstEventDue }
+	isLate := func(w *waiter) bool { return g.isLate(now, w) }
 	lateFirst := g.admittedCount%lateInterval == lateInterval-1
 	best := 0
 	for i := range ready {
--- a/internal/orders/worker.go
+++ b/internal/orders/worker.go
@@ -132,7 +132,7 @@
 	}
 	w.gate.Enqueue(now, request)
 	if status == residency.Waiting {
-		w.engine.RequestLoad(now, request.Adapter, request.Version, 1)
+		w.engine.RequestLoad(now, request.Adapter, request.Version)
 		w.signal()
 		return status
 	}
@@ -146,7 +146,7 @@
 func (w *worker) requestLoad(now time.Duration, adapter topology.Adapter, version int64) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.engine.RequestLoad(now, adapter, version, 1)
+	w.engine.RequestLoad(now, adapter, version)
 	w.signal()
 }
 
@@ -279,9 +279,10 @@
 		allowed := w.checkAllowed()
 		now := clock.Boot()
 		w.mu.Lock()
-		w.gate.WaitingAdapters(func(adapter topology.Adapter, version int64, weight float64) {
+		w.gate.WaitingAdapters(now, w.engine.ExpectedLoadTime(), func(adapter topology.Adapter, version int64, demand residency.Demand) {
 			if adapter.Name != "" {
-				w.engine.RequestLoad(now, adapter, version, weight)
+				w.engine.RequestLoad(now, adapter, version)
+				w.engine.SetDemand(adapter, demand)
 			}
 		})
 		w.admitWaiting(now, admission.Key{})
--- a/internal/relay/model.go
+++ b/internal/relay/model.go
@@ -111,7 +111,7 @@
 		Priority:       e.route.Priority,
 		PauseObjective: e.route.PauseObjective,
 		FirstEventDue:  now + e.route.LatencyObjective - time.Since(e.arrivedAt),
-		Deadline:       now + e.timeLeft(),
+		Deadline:       now + e.timeToSend(),
 		NeedsLoad:      choice.NeedsLoad,
 	})
 	if admission == locator.Declined || admission == locator.Unowned && choice.NeedsLoad {
@@ -145,6 +145,14 @@
 	return e.arrivedAt.Add(time.Duration(sendDeadlineShare * float64(patience)))
 }
 
+// timeToSend returns the time that is left to send the request.
+func (e *exchange) timeToSend() time.Duration {
+	if e.sends > 0 {
+		return e.timeLeft()
+	}
+	return min(e.timeLeft(), time.Until(e.sendDeadline()))
+}
+
 // admissionContext limits the wait for admission. At an engine that holds the
 // adapter, the engine is selected anew after maxAdmissionWait: another engine
 // may hold the adapter by then, or have fewer requests waiting. Admissions are
--- a/internal/residency/engine.go
+++ b/internal/residency/engine.go
@@ -56,6 +56,13 @@
 	// reloadFactor is the load time of a recently held adapter relative to that
 	// of one fetched from the weight store.
 	reloadFactor = 0.1
+	// lateValue is the value of serving a request late relative to serving it in
+	// time, and speculativeValue that of a load that nobody waits for yet.
+	lateValue        = 0.3
+	speculativeValue = 0.1
+	// longestWaitInterval is the number of loads of which one is for the adapter
+	// that was requested first, so that rare adapters get their turn under load.
+	longestWaitInterval = 4
 	// maxConcurrentLoads bounds the adapters that one engine loads at once.
 	maxConcurrentLoads = 2
 )
@@ -107,7 +114,7 @@
 // loadRequest is a request for an adapter that is not ready in the version.
 type loadRequest struct {
 	version          int64
-	weight           float64
+	demand           Demand
 	firstRequestedAt time.Duration
 	lastRequestedAt  time.Duration
 	// declined is set while the engine can't load the adapter.
@@ -133,7 +140,9 @@
 	synced         bool
 	acceptedOrders int64
 	lastAcceptedAt time.Duration
-	backoffUntil   time.Duration
+	// loadCount is the number of adapter loads ordered by this daemon.
+	loadCount    int
+	backoffUntil time.Duration
 	// reportChecksUntil is until when loads are looked up in reports.
 	reportChecksUntil time.Duration
 	models            map[string]int64
@@ -211,19 +220,40 @@
 	return e.incarnation
 }
 
-// RequestLoad requests an adapter in the version or a newer one. The weight is
-// the total value of the requests that wait for it at one entry.
-func (e *Engine) RequestLoad(now time.Duration, adapter topology.Adapter, version int64, weight float64) {
+// Demand is what the requests that wait for an adapter gain from its load. A
+// load without such requests prepares for later ones.
+type Demand struct {
+	// Timely is the total weight of the requests that meet their objective if the
+	// load starts now, and Due the earliest time at which one of these is due.
+	Timely float64
+	Due    time.Duration
+	// Late is the total weight of those that are served late.
+	Late float64
+}
+
+// value returns what a load now is worth.
+func (d Demand) value() float64 {
+	return speculativeValue + d.Timely + lateValue*d.Late
+}
+
+// RequestLoad requests an adapter in the version or a newer one.
+func (e *Engine) RequestLoad(now time.Duration, adapter topology.Adapter, version int64) {
 	r := e.loadRequests[adapter]
 	if r == nil {
 		r = &loadRequest{firstRequestedAt: now}
 		e.loadRequests[adapter] = r
 	}
 	r.version = max(r.version, version)
-	r.weight = max(r.weight, weight)
 	r.lastRequestedAt = now
 }
 
+// SetDemand sets the demand for a requested adapter.
+func (e *Engine) SetDemand(adapter topology.Adapter, demand Demand) {
+	if r := e.loadRequests[adapter]; r != nil {
+		r.demand = demand
+	}
+}
+
 // requestKey identifies a request by its entry and its ticket there.
 type requestKey struct {
 	entry  string
--- a/internal/residency/engine_test.go
+++ b/internal/residency/engine_test.go
@@ -153,7 +153,7 @@
 		fixedStep := func() { advance(60 * time.Millisecond) }
 		for range rapid.IntRange(10, 120).Draw(t, "steps") {
 			if rapid.IntRange(0, 3).Draw(t, "want") == 0 {
-				e.RequestLoad(now, adapter(rapid.IntRange(0, 9).Draw(t, "adapter")), int64(rapid.IntRange(0, 2).Draw(t, "version")), 1)
+				e.RequestLoad(now, adapter(rapid.IntRange(0, 9).Draw(t, "adapter")), int64(rapid.IntRange(0, 2).Draw(t, "version")))
 			}
 			if rapid.IntRange(0, 60).Draw(t, "restart") == 0 {
 				f.restart()
@@ -164,7 +164,7 @@
 		requested := adapter(0)
 		// After maxOrderDelay all slots are used again; the rest covers some loads.
 		for deadline := now + maxOrderDelay + 5*time.Second; now < deadline; {
-			e.RequestLoad(now, requested, 2, 1)
+			e.RequestLoad(now, requested, 2)
 			if e.Status(requested, 2) == Ready {
 				if f.held[requested] >= 2 {
 					return
@@ -221,7 +221,7 @@
 // than slots.
 func TestUnansweredLoadsFitIntoTheSlots(t *testing.T) {
 	e := syncedEngine(1, 1)
-	e.RequestLoad(0, adapter(0), 2, 1)
+	e.RequestLoad(0, adapter(0), 2)
 	first := *e.Next(0).Order
 	e.ApplyOrderResult(0, first, Unanswered)
 	now := unansweredPause
@@ -233,12 +233,12 @@
 	now += conflictPause
 	e.ApplyReport(now, topology.EngineReport{Incarnation: 1, AcceptedOrders: 1, Models: []topology.HeldModel{{Name: "m",
 		Adapters: []topology.HeldAdapter{{Name: adapter(0).Name, Version: 2}}}}})
-	e.RequestLoad(now, adapter(0), 3, 1)
+	e.RequestLoad(now, adapter(0), 3)
 	if second := e.Next(now).Order; second != nil {
 		t.Errorf("ordered %+v while a load is unanswered", second)
 	}
 	now = maxOrderDelay + time.Second
-	e.RequestLoad(now, adapter(0), 3, 1)
+	e.RequestLoad(now, adapter(0), 3)
 	if second := e.Next(now).Order; second == nil {
 		t.Error("no order after the unanswered load has expired")
 	}
@@ -258,7 +258,7 @@
 			now := 2 * time.Second
 			e.ApplyReport(now, topology.EngineReport{Incarnation: 1, AcceptedOrders: 2, Models: []topology.HeldModel{{Name: "m",
 				Adapters: []topology.HeldAdapter{{Name: adapter(0).Name, Version: 1}}}}})
-			e.RequestLoad(now, adapter(0), 2, 1)
+			e.RequestLoad(now, adapter(0), 2)
 			want := Order{Kind: LoadAdapter, Adapter: adapter(0), Version: 2, Precondition: 2}
 			if got := e.Next(now).Order; got == nil || *got != want {
 				t.Errorf("next order is %+v, want %+v", got, want)
@@ -286,62 +286,66 @@
 		setup func(e *Engine)
 		want  *Order
 	}{
-		{"an empty slot is filled", func(e *Engine) { e.spec.Capacity = 3; e.RequestLoad(later, adapter(5), 4, 1) },
+		{"an empty slot is filled", func(e *Engine) { e.spec.Capacity = 3; e.RequestLoad(later, adapter(5), 4) },
 			&Order{Kind: LoadAdapter, Adapter: adapter(5), Version: 4}},
 		{"the least used adapter is evicted", func(e *Engine) {
 			e.RecordUse(0, "entry", []AdapterUse{{Adapter: adapter(0), Count: 9}, {Adapter: adapter(1), Count: 2}})
-			e.RequestLoad(later, adapter(5), 0, 1)
+			e.RequestLoad(later, adapter(5), 0)
 		}, &Order{Kind: UnloadAdapter, Adapter: adapter(1)}},
 		{"an adapter with running requests stays", func(e *Engine) {
 			e.RecordUse(later, "entry", []AdapterUse{{Adapter: adapter(1), Running: 1}})
-			e.RequestLoad(later, adapter(5), 0, 1)
+			e.RequestLoad(later, adapter(5), 0)
 		}, &Order{Kind: UnloadAdapter, Adapter: adapter(0)}},
 		{"a recently used adapter stays", func(e *Engine) {
 			e.RecordAdmission(later, "entry", 1, adapter(0))
 			e.RecordAdmission(later, "entry", 2, adapter(1))
 			e.RecordEnd(later, "entry", 1)
 			e.RecordEnd(later, "entry", 2)
-			e.RequestLoad(later, adapter(5), 0, 1)
+			e.RequestLoad(later, adapter(5), 0)
 		}, nil},
 		{"an adapter with an admitted request stays until that ends", func(e *Engine) {
 			e.RecordAdmission(0, "entry", 1, adapter(0))
-			e.RequestLoad(later, adapter(5), 0, 1)
+			e.RequestLoad(later, adapter(5), 0)
 		}, &Order{Kind: UnloadAdapter, Adapter: adapter(1)}},
 		{"the entry's heartbeat replaces a lost report of a request's end", func(e *Engine) {
 			e.RecordAdmission(0, "entry", 1, adapter(0))
 			e.RecordAdmission(0, "entry", 2, adapter(1))
 			e.RecordUse(time.Second, "entry", []AdapterUse{{Adapter: adapter(1), Admitted: 1}})
-			e.RequestLoad(later, adapter(5), 0, 1)
+			e.RequestLoad(later, adapter(5), 0)
 		}, &Order{Kind: UnloadAdapter, Adapter: adapter(0)}},
 		{"a request admitted by the previous owner counts", func(e *Engine) {
 			e.RecordUse(later, "entry", []AdapterUse{{Adapter: adapter(1), Admitted: 1}})
-			e.RequestLoad(later, adapter(5), 0, 1)
+			e.RequestLoad(later, adapter(5), 0)
 		}, &Order{Kind: UnloadAdapter, Adapter: adapter(0)}},
 		{"nothing is ordered while an unload waits for running requests", func(e *Engine) {
 			e.ApplyOrderResult(0, Order{Kind: UnloadAdapter, Adapter: adapter(0)}, Accepted)
 			e.ApplyReport(later, topology.EngineReport{Incarnation: 1, AcceptedOrders: 1, Models: []topology.HeldModel{{Name: "m",
 				Adapters: []topology.HeldAdapter{{Name: "a0", Version: 1}, {Name: "a1", Version: 1}}}}})
-			e.RequestLoad(later, adapter(5), 0, 1)
+			e.RequestLoad(later, adapter(5), 0)
 		}, nil},
 		{"nothing is ordered while a newer version waits for requests on the older one", func(e *Engine) {
 			e.spec.Capacity = 3
 			e.RecordUse(later, "entry", []AdapterUse{{Adapter: adapter(0), Running: 1}})
 			e.ApplyOrderResult(later, Order{Kind: LoadAdapter, Adapter: adapter(0), Version: 2}, Accepted)
-			e.RequestLoad(later, adapter(5), 0, 1)
+			e.RequestLoad(later, adapter(5), 0)
 		}, nil},
 		{"a requested adapter stays", func(e *Engine) {
-			e.RequestLoad(later, adapter(0), 9, 5)
-			e.RequestLoad(later, adapter(5), 0, 9)
+			e.RequestLoad(later, adapter(0), 9)
+			e.RequestLoad(later, adapter(5), 0)
+			e.SetDemand(adapter(0), Demand{Timely: 5})
+			e.SetDemand(adapter(5), Demand{Timely: 9})
 		}, &Order{Kind: UnloadAdapter, Adapter: adapter(1)}},
-		{"a newer version replaces the held one", func(e *Engine) { e.RequestLoad(later, adapter(0), 2, 1) },
+		{"a newer version replaces the held one", func(e *Engine) { e.RequestLoad(later, adapter(0), 2) },
 			&Order{Kind: LoadAdapter, Adapter: adapter(0), Version: 2}},
-		{"a held version that suffices is not reloaded", func(e *Engine) { e.RequestLoad(later, adapter(0), 1, 1) }, nil},
+		{"a held version that suffices is not reloaded", func(e *Engine) { e.RequestLoad(later, adapter(0), 1) }, nil},
 		{"the highest weight comes first", func(e *Engine) {
 			e.spec.Capacity = 3
-			e.RequestLoad(later, adapter(5), 0, 1)
-			e.RequestLoad(later, adapter(6), 0, 3)
+			e.RequestLoad(later, adapter(5), 0)
+			e.RequestLoad(later, adapter(6), 0)
+			e.SetDemand(adapter(5), Demand{Timely: 1})
+			e.SetDemand(adapter(6), Demand{Timely: 3})
 		}, &Order{Kind: LoadAdapter, Adapter: adapter(6)}},
-		{"a load request that is not repeated expires", func(e *Engine) { e.spec.Capacity = 3; e.RequestLoad(later-2*loadRequestExpiry, adapter(5), 0, 1) }, nil},
+		{"a load request that is not repeated expires", func(e *Engine) { e.spec.Capacity = 3; e.RequestLoad(later-2*loadRequestExpiry, adapter(5), 0) }, nil},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
@@ -357,7 +361,7 @@
 
 func TestLaggingReportIsIgnored(t *testing.T) {
 	e := syncedEngine(2)
-	e.RequestLoad(0, adapter(0), 0, 1)
+	e.RequestLoad(0, adapter(0), 0)
 	order := *e.Next(0).Order
 	e.ApplyOrderResult(0, order, Accepted)
 	e.ApplyReport(50*time.Millisecond, topology.EngineReport{Incarnation: 1, Models: []topology.HeldModel{{Name: "m"}}})
--- a/internal/residency/load_check_test.go
+++ b/internal/residency/load_check_test.go
@@ -15,7 +15,7 @@
 	for now := time.Duration(0); now < 5*time.Second; now += step {
 		f.advance(now)
 		f.reports = append(f.reports, f.report())
-		e.RequestLoad(now, adapter(0), 1, 1)
+		e.RequestLoad(now, adapter(0), 1)
 		if e.Status(adapter(0), 1) == Ready {
 			if f.held[adapter(0)] != 1 {
 				t.Fatalf("the adapter counts as ready at %v, before the engine holds it", now)
--- a/internal/residency/next.go
+++ b/internal/residency/next.go
@@ -174,7 +174,7 @@
 		}
 		return &Order{Kind: LoadModel, Adapter: topology.Adapter{Model: e.spec.Model}}
 	}
-	for _, requested := range e.adaptersByPressure(now) {
+	for _, requested := range e.adaptersByValue() {
 		if order := e.orderFor(now, requested); order != nil {
 			return order
 		}
@@ -194,26 +194,39 @@
 	return false
 }
 
-// adaptersByPressure returns the requested adapters by descending product of
-// the waiting requests' value and their waiting time.
-func (e *Engine) adaptersByPressure(now time.Duration) []topology.Adapter {
+// adaptersByValue returns the requested adapters in the order in which to load
+// them: by the value of the requests that wait for them, then the one due first.
+// When more is requested than can be loaded, this serves the most requests in
+// time; in the order of their arrival all would be late. Every
+// longestWaitInterval-th load is for the adapter requested first.
+func (e *Engine) adaptersByValue() []topology.Adapter {
 	adapters := make([]topology.Adapter, 0, len(e.loadRequests))
 	for adapter := range e.loadRequests {
 		adapters = append(adapters, adapter)
 	}
-	pressure := func(a topology.Adapter) float64 {
-		r := e.loadRequests[a]
-		return r.weight * (0.1 + (now - r.firstRequestedAt).Seconds())
-	}
+	longestWaitFirst := e.loadCount%longestWaitInterval == longestWaitInterval-1
 	slices.SortFunc(adapters, func(a, b topology.Adapter) int {
-		if c := cmp.Compare(pressure(b), pressure(a)); c != 0 {
-			return c
-		}
-		return cmp.Compare(a.String(), b.String())
+		return e.loadRequests[a].compare(e.loadRequests[b], longestWaitFirst, a.Name, b.Name)
 	})
 	return adapters
 }
 
+func (r *loadRequest) compare(other *loadRequest, longestWaitFirst bool, name, otherName string) int {
+	byValue := cmp.Compare(other.demand.value(), r.demand.value())
+	byWait := cmp.Compare(r.firstRequestedAt, other.firstRequestedAt)
+	byName := cmp.Compare(name, otherName)
+	if !longestWaitFirst {
+		return cmp.Or(byValue, cmp.Compare(r.demand.Due, other.demand.Due), byWait, byName)
+	}
+	isUnused := func(r *loadRequest) int {
+		if r.demand.value() > speculativeValue {
+			return 0
+		}
+		return 1
+	}
+	return cmp.Or(cmp.Compare(isUnused(r), isUnused(other)), byWait, byName)
+}
+
 // orderFor returns the next order towards loading a requested adapter, or nil
 // if none can be sent now.
 func (e *Engine) orderFor(now time.Duration, adapter topology.Adapter) *Order {
--- a/internal/residency/result.go
+++ b/internal/residency/result.go
@@ -114,6 +114,7 @@
 }
 
 func (e *Engine) startLoad(now time.Duration, order Order, occupied *adapterSlot) {
+	e.loadCount++
 	s := occupied
 	if s == nil {
 		s = &adapterSlot{phase: loading, lastUsedAt: now, decayedAt: now}
@@ -300,6 +301,11 @@
 	s.version = version
 }
 
+// ExpectedLoadTime returns the expected time of a load from the weight store.
+func (e *Engine) ExpectedLoadTime() time.Duration {
+	return e.estimatedLoadTime
+}
+
 // updateLoadTime includes a measured load in the moving average of load times.
 func (e *Engine) updateLoadTime(duration time.Duration) {
 	const weight = 0.2
