residency: one fetch at once at an engine; reloads of recently held adapters beside it

Cause: two fetches at each of 12 engines put up to 24 in transit where 8 run at full speed; each then took three times as long, and what was requested meanwhile could not go first. Change: one fetch from the weight store at an engine; adapters that it held recently load beside it, three loads in all. Tests: two cases of TestNextOrder.

--- a/internal/residency/engine.go
+++ b/internal/residency/engine.go
@@ -63,8 +63,14 @@
 	// longestWaitInterval is the number of loads of which one is for the adapter
 	// that was requested first, so that rare adapters get their turn under load.
 	longestWaitInterval = 4
-	// maxConcurrentLoads bounds the adapters that one engine loads at once.
-	maxConcurrentLoads = 2
+	// maxConcurrentFetches bounds the adapters that one engine fetches from the
+	// weight store at once. A fleet's engines together reach the store's full
+	// speed with it; more fetches only take longer each, and their order can no
+	// longer be changed.
+	maxConcurrentFetches = 1
+	// maxConcurrentLoads bounds all loads of one engine, with those of recently
+	// held adapters, which are short. Engines accept four.
+	maxConcurrentLoads = 3
 )
 
 // phase is the state of an adapter slot.
@@ -97,9 +103,11 @@
 	orderedAt     time.Duration
 	checkAt       time.Duration
 	checkInterval time.Duration
-	// isFetch is set while this daemon's load fetches the adapter from the weight
-	// store, which gives a sample of the load time.
-	isFetch bool
+	// isReload is set while an adapter that the engine held recently is loaded,
+	// and isFetch while this daemon's load fetches it from the weight store, which
+	// gives a sample of the load time.
+	isReload bool
+	isFetch  bool
 	// readyAt is when the last load ended.
 	readyAt time.Duration
 	// doubtful is set while only a report can show whether the engine holds the
--- a/internal/residency/engine_test.go
+++ b/internal/residency/engine_test.go
@@ -338,6 +338,17 @@
 		{"a newer version replaces the held one", func(e *Engine) { e.RequestLoad(later, adapter(0), 2) },
 			&Order{Kind: LoadAdapter, Adapter: adapter(0), Version: 2}},
 		{"a held version that suffices is not reloaded", func(e *Engine) { e.RequestLoad(later, adapter(0), 1) }, nil},
+		{"a second cold adapter waits for the first one's fetch", func(e *Engine) {
+			e.spec.Capacity = 4
+			e.ApplyOrderResult(later, Order{Kind: LoadAdapter, Adapter: adapter(4)}, Accepted)
+			e.RequestLoad(later, adapter(5), 0)
+		}, nil},
+		{"a recently held adapter does not wait for a fetch", func(e *Engine) {
+			e.spec.Capacity = 4
+			e.addRecent(adapter(5))
+			e.ApplyOrderResult(later, Order{Kind: LoadAdapter, Adapter: adapter(4)}, Accepted)
+			e.RequestLoad(later, adapter(5), 0)
+		}, &Order{Kind: LoadAdapter, Adapter: adapter(5), Precondition: 1}},
 		{"the highest weight comes first", func(e *Engine) {
 			e.spec.Capacity = 3
 			e.RequestLoad(later, adapter(5), 0)
--- a/internal/residency/next.go
+++ b/internal/residency/next.go
@@ -245,7 +245,7 @@
 		return load // replaces the held version by a newer one
 	case s != nil:
 		return nil
-	case e.loadsInProgress() >= maxConcurrentLoads:
+	case !e.hasRoomForLoad(adapter):
 		return nil
 	case len(e.slots)+len(e.reservedSlots) < e.spec.Capacity:
 		return load
@@ -268,14 +268,23 @@
 	return len(e.unanswered)+len(e.reservedSlots) < e.spec.Capacity
 }
 
-func (e *Engine) loadsInProgress() int {
-	n := 0
+// hasRoomForLoad reports whether the engine may load the adapter beside the
+// loads in progress.
+func (e *Engine) hasRoomForLoad(adapter topology.Adapter) bool {
+	loads, fetches := 0, 0
 	for _, s := range e.slots {
-		if s.phase == loading || s.phase == replacing {
-			n++
+		if s.phase != loading && s.phase != replacing {
+			continue
+		}
+		loads++
+		if !s.isReload {
+			fetches++
 		}
 	}
-	return n
+	if e.heldRecently(adapter) {
+		return loads < maxConcurrentLoads
+	}
+	return loads < maxConcurrentLoads && fetches < maxConcurrentFetches
 }
 
 // evictionCandidate returns the adapter with the smallest decayed use count
--- a/internal/residency/result.go
+++ b/internal/residency/result.go
@@ -106,7 +106,7 @@
 	if s.isFetch {
 		e.updateLoadTime(loadTime)
 	}
-	s.isFetch = false
+	s.isReload, s.isFetch = false, false
 	s.doubtful = false
 	s.phase = ready
 	s.readyAt = now
@@ -124,9 +124,9 @@
 	}
 	s.target = order.Version
 	s.orderCount = e.acceptedOrders
-	isReload := slices.Contains(e.recentAdapters, order.Adapter)
-	s.isFetch = occupied == nil && !isReload
-	expected := e.expectedLoadTime(isReload)
+	s.isReload = e.heldRecently(order.Adapter)
+	s.isFetch = occupied == nil && !s.isReload
+	expected := e.expectedLoadTime(s.isReload)
 	s.scheduleCheck(now, expected)
 	if e.checkedByOrder(now, s) {
 		s.checkAt = now + time.Duration(firstLoadCheckShare*float64(expected))
@@ -148,6 +148,12 @@
 	return e.estimatedLoadTime
 }
 
+// heldRecently reports whether the engine probably has a copy of the adapter
+// from before.
+func (e *Engine) heldRecently(adapter topology.Adapter) bool {
+	return slices.Contains(e.recentAdapters, adapter)
+}
+
 func (e *Engine) addRecent(adapter topology.Adapter) {
 	if i := slices.Index(e.recentAdapters, adapter); i >= 0 {
 		e.recentAdapters = slices.Delete(e.recentAdapters, i, i+1)
