gateway: a lost VM leaves the directory's answers soon in large fleets too

Its member key was gone, but a former member counted as alive for three rotations of heartbeats after its last one: 11 s at 195 daemons. Change: without a member key, or while it reports that it can't reach the store (it then sends heartbeats to all every 4 ms a daemon), a daemon counts as alive for three of those periods, at least 2 s: 2.3 s at 195, 6.1 s at 510. Test: TestLostDaemonsAreNotOfferedForLong fails with the former bound at 195 and 510.

--- a/internal/gateway/audience.go
+++ b/internal/gateway/audience.go
@@ -79,8 +79,15 @@
 	return heartbeatInterval * time.Duration(max(n, rotationSize)) / rotationSize
 }
 
-// livenessTimeout is how long a daemon counts as alive after its last heartbeat
-// in a fleet of n: some of its heartbeats may be lost.
-func livenessTimeout(n int) time.Duration {
-	return max(minLivenessTimeout, 3*heartbeatPeriod(n))
+// isAlive reports whether a daemon in a fleet of n counts as alive at now, given
+// its last heartbeat. Some of its heartbeats may be lost. One that can't reach
+// the key-value service sends heartbeats to all. One without a member key has
+// exited, or is about to register again: callers are not sent there on the word
+// of an old heartbeat.
+func (p peer) isAlive(now time.Duration, n int, registered bool) bool {
+	period := heartbeatPeriod(n)
+	if p.storeDown || !registered {
+		period = outagePeriod(n)
+	}
+	return now-p.lastHeartbeatAt < max(minLivenessTimeout, 3*period)
 }
--- a/internal/gateway/audience_test.go
+++ b/internal/gateway/audience_test.go
@@ -106,3 +106,30 @@
 		}
 	}
 }
+
+// A VM that is lost must not be offered to callers for long, whatever the size
+// of the fleet: 2 s after its last heartbeat, or three of the heartbeats that it
+// sends to all while it can't reach the key-value service.
+func TestLostDaemonsAreNotOfferedForLong(t *testing.T) {
+	const limit = 7 * time.Second
+	for _, n := range []int{9, 61, 195, 510} {
+		for _, test := range []struct {
+			name       string
+			peer       peer
+			registered bool
+		}{
+			{"its lease has expired", peer{}, false},
+			{"it was lost during an outage", peer{storeDown: true}, true},
+		} {
+			if !test.peer.isAlive(time.Second, n, test.registered) {
+				t.Errorf("fleet of %d: %s: lost 1 s after a heartbeat", n, test.name)
+			}
+			if test.peer.isAlive(limit, n, test.registered) {
+				t.Errorf("fleet of %d: %s: alive %v after its last heartbeat", n, test.name, limit)
+			}
+		}
+		if between := heartbeatPeriod(n) + heartbeatInterval; !(peer{}).isAlive(between, n, true) {
+			t.Errorf("fleet of %d: a registered daemon is lost between two heartbeats, after %v", n, between)
+		}
+	}
+}
--- a/internal/gateway/directory.go
+++ b/internal/gateway/directory.go
@@ -23,7 +23,6 @@
 	now := clock.Boot()
 	self := g.settings.Load().VM
 	members := g.members()
-	timeout := livenessTimeout(len(members))
 	var alive, registered []string
 	for _, m := range members {
 		if m.Draining || m.Name == self {
@@ -34,7 +33,7 @@
 			continue
 		}
 		registered = append(registered, m.Entry)
-		if hasHeartbeat && now-p.lastHeartbeatAt < timeout {
+		if hasHeartbeat && p.isAlive(now, len(members), true) {
 			alive = append(alive, m.Entry)
 		}
 	}
--- a/internal/gateway/notices.go
+++ b/internal/gateway/notices.go
@@ -69,9 +69,9 @@
 func (g *Gateway) members() []fleet.Member {
 	members := g.keeper.Members()
 	now := clock.Boot()
-	timeout := livenessTimeout(len(members))
+	registered := len(members)
 	for _, m := range g.keeper.FormerMembers() {
-		if p, ok := g.peers.get(m.Name); ok && p.incarnation == m.Incarnation && !p.draining && now-p.lastHeartbeatAt < timeout {
+		if p, ok := g.peers.get(m.Name); ok && p.incarnation == m.Incarnation && !p.draining && p.isAlive(now, registered, false) {
 			members = append(members, m)
 		}
 	}
