--- a/internal/infra/kv.go
+++ b/internal/infra/kv.go
@@ -31,8 +31,8 @@
 	Watch(ctx context.Context, prefix string, from int64) (<-chan WatchBatch, error)
 }
 
-// Entry is one key with its value and revisions. All revisions and leases of this
-// package are those of an Era, see InEra.
+// Entry is one key with its value and revisions. All revisions of this package
+// are those of an Era, see InEra.
 type Entry struct {
 	Key            string
 	Value          []byte
