gateway: daemons whose copy of the store is proven complete poll it every 6 s

Change: the watchers send a checkpoint to all every 0.2 of the longest propagation time: a digest of members, records, versions, registrations and the configuration's version, and how long ago they asked. As long as a daemon's digest is the same, at most 0.5 of the propagation time after the watcher asked, it polls every 6 s, for what engines hold. A newer configuration, a mismatch, missing checkpoints or a watcher without the store end that. Watchers' requests are held for 300 ms, as a pending one shows nothing. A removal that is forwarded while this daemon has not found the store again waits the grace of a return, as does one after an outage that only the renewals have met. Tests: proofs run out 0.7 s before the bound when a change is lost, watchers are gone or cut off; one lost checkpoint costs no polls.

--- a/internal/fleet/keeper.go
+++ b/internal/fleet/keeper.go
@@ -193,6 +193,13 @@
 	return m, ok
 }
 
+// Digest returns a digest of all members and engines' records.
+func (k *Keeper) Digest() uint64 {
+	k.mu.RLock()
+	defer k.mu.RUnlock()
+	return k.table.Digest()
+}
+
 // Owner returns the member that orders an engine.
 func (k *Keeper) Owner(id string) (Member, bool) {
 	k.mu.RLock()
--- a/internal/fleet/table.go
+++ b/internal/fleet/table.go
@@ -4,12 +4,14 @@
 	"cmp"
 	"encoding/json"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 
 	"github.com/barleylift/barleylift/internal/infra"
 	"github.com/barleylift/barleylift/internal/mirror"
 	"github.com/barleylift/barleylift/internal/placement"
+	"github.com/cespare/xxhash/v2"
 )
 
 // registeredMember is the last known value of a member key.
@@ -221,6 +223,25 @@
 	}
 }
 
+// Digest returns a digest of all members and engines' records. Tables with the
+// same keys and revisions have the same digest.
+func (t *Table) Digest() uint64 {
+	var sum uint64
+	for name, m := range t.members {
+		sum += keyDigest(memberPrefix, name, m.revision)
+	}
+	for id, e := range t.engines {
+		if e.revision != 0 {
+			sum += keyDigest(enginePrefix, id, e.revision)
+		}
+	}
+	return sum
+}
+
+func keyDigest(prefix, name string, revision int64) uint64 {
+	return xxhash.Sum64String(prefix + name + " " + strconv.FormatInt(revision, 10))
+}
+
 // Members returns the members in name order. This daemon is among them if the
 // table has its key.
 func (t *Table) Members() []Member {
--- a/internal/gateway/apply.go
+++ b/internal/gateway/apply.go
@@ -107,6 +107,10 @@
 func (g *Gateway) applyRemoval(id string) {
 	now := clock.Boot()
 	due := max(time.Duration(g.storeRegainedAt.Load())+registrationGrace, now)
+	if g.storeDisconnected() {
+		// Another daemon has forwarded the removal as the service came back.
+		due = now + registrationGrace
+	}
 	g.mu.Lock()
 	_, registered := g.upstreams[id]
 	if registered {
@@ -151,6 +155,16 @@
 	g.storeDown.Store(!reachable)
 }
 
+// noteStoreReturn notes the end of an outage that only the lease renewals have
+// met, as this daemon did not poll its watch meanwhile.
+func (g *Gateway) noteStoreReturn() {
+	isLost := g.storeDisconnected()
+	if g.storeWasLost && !isLost {
+		g.storeRegainedAt.Store(max(g.storeRegainedAt.Load(), int64(clock.Boot())))
+	}
+	g.storeWasLost = isLost
+}
+
 func (g *Gateway) signalReassign() {
 	select {
 	case g.reassign <- struct{}{}:
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -68,6 +68,13 @@
 	firstReadApplied atomic.Bool
 	// storeRegainedAt is when the service last became reachable, by clock.Boot.
 	storeRegainedAt atomic.Int64
+	// completeness proves that the copy of the service is up to date between two
+	// polls, and lastCheckpointAt is when this daemon last sent checkpoints.
+	completeness     completeness
+	lastCheckpointAt time.Duration
+	// storeWasLost is set while the service has not answered since it was found
+	// unreachable. Both are used by the goroutine of the heartbeats only.
+	storeWasLost bool
 	// era is the era of the key-value service that was applied last.
 	era atomic.Int64
 
--- a/internal/gateway/notices.go
+++ b/internal/gateway/notices.go
@@ -81,8 +81,10 @@
 func (g *Gateway) runHeartbeats(ctx context.Context) {
 	var selector recipientSelector
 	for clock.Sleep(ctx, heartbeatInterval) {
+		g.noteStoreReturn()
 		g.setWatchPause()
 		g.sendHeartbeats(&selector)
+		g.sendCheckpoints(clock.Boot())
 	}
 }
 
@@ -255,6 +257,8 @@
 			changes[i] = changeOf(message)
 		}
 		g.mirror.Inject(changes)
+	case packet.Checkpoint != nil:
+		g.receiveCheckpoint(*packet.Checkpoint)
 	case packet.AdmissionProgress != nil:
 		progress := packet.AdmissionProgress
 		g.orders.HandleProgress(progress.Engine, admission.Key{Entry: packet.From, Ticket: progress.Ticket}, orders.AdmissionProgress{Refused: progress.Refused, Ended: progress.Ended})
--- a/internal/gateway/platform.go
+++ b/internal/gateway/platform.go
@@ -19,9 +19,9 @@
 	Store() infra.KV
 	// SetStore sets the address for later calls of that client.
 	SetStore(address string)
-	// SetWatchPause sets the minimum time between two responses of a watch
-	// of that client, so that changes in close succession cost one call.
-	SetWatchPause(pause time.Duration)
+	// SetWatchTiming sets the minimum time between two responses of a watch of
+	// Store, and how long the service may hold a request while nothing changes.
+	SetWatchTiming(pause, hold time.Duration)
 	// Protocol returns the translation of requests and responses.
 	Protocol() relay.Protocol
 	// Engines returns the client for orders to engines.
--- a/internal/gateway/watchers.go
+++ b/internal/gateway/watchers.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/barleylift/barleylift/internal/clock"
 	"github.com/barleylift/barleylift/internal/fleet"
 	"github.com/barleylift/barleylift/internal/infra"
 	"github.com/barleylift/barleylift/internal/mesh"
@@ -22,6 +23,11 @@
 	watcherCount = 2
 	// watcherPause is the watchers' pause between two responses of the watch.
 	watcherPause = 150 * time.Millisecond
+	// watcherHold is how long the service holds a watcher's request while nothing
+	// changes. A pending request shows nothing, so it bounds the age of checkpoints.
+	watcherHold = 300 * time.Millisecond
+	// maxWatchHold is the same for the other daemons.
+	maxWatchHold = 2 * time.Second
 	// watchPauseShare is the other daemons' pause as a share of MaxStaleness: a
 	// change may occur right after a response.
 	watchPauseShare = 0.45
@@ -75,11 +81,14 @@
 }
 
 func (g *Gateway) setWatchPause() {
-	pause := time.Duration(watchPauseShare * float64(g.settings.Load().MaxStaleness))
-	if g.isWatcher() {
-		pause = watcherPause
+	pause, hold := time.Duration(watchPauseShare*float64(g.settings.Load().MaxStaleness)), maxWatchHold
+	switch {
+	case g.isWatcher():
+		pause, hold = watcherPause, watcherHold
+	case g.completeness.isProven(clock.Boot()) && !g.storeDisconnected():
+		pause = provenWatchPause
 	}
-	g.platform.SetWatchPause(pause)
+	g.platform.SetWatchTiming(pause, hold)
 }
 
 // urgency is how soon other daemons should receive a change.
--- a/internal/locator/versions.go
+++ b/internal/locator/versions.go
@@ -1,10 +1,12 @@
 package locator
 
 import (
+	"strconv"
 	"time"
 
 	"github.com/barleylift/barleylift/internal/clock"
 	"github.com/barleylift/barleylift/internal/topology"
+	"github.com/cespare/xxhash/v2"
 )
 
 // versionGrace is how long an older version may still begin requests after this
@@ -42,6 +44,17 @@
 	l.versions[adapter] = versions{newest: version, previous: allowed, learnedAt: clock.Boot()}
 }
 
+// VersionsDigest returns a digest of the newest versions of all adapters.
+func (l *Locator) VersionsDigest() uint64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var sum uint64
+	for adapter, v := range l.versions {
+		sum += xxhash.Sum64String(adapter.String() + "@" + strconv.FormatInt(v.newest, 10))
+	}
+	return sum
+}
+
 // NeededVersion returns the version of an adapter to load; 0 if none was set.
 func (l *Locator) NeededVersion(adapter topology.Adapter) int64 {
 	l.mu.Lock()
--- a/internal/mesh/packet.go
+++ b/internal/mesh/packet.go
@@ -16,6 +16,20 @@
 	AdmissionProgress *AdmissionProgress `cbor:"6,keyasint,omitempty"`
 	// Changes are changes of the key-value service that the sender has received.
 	Changes []Change `cbor:"8,keyasint,omitempty"`
+	// Checkpoint is a watcher's state of the key-value service.
+	Checkpoint *Checkpoint `cbor:"9,keyasint,omitempty"`
+}
+
+// Checkpoint summarizes a watcher's copy of the key-value service.
+type Checkpoint struct {
+	// Revision is the one up to which the copy is complete.
+	Revision int64 `cbor:"1,keyasint"`
+	// Digest is that of all but the engines' periodic updates.
+	Digest uint64 `cbor:"2,keyasint"`
+	// ConfigVersion is the version of the configuration in force.
+	ConfigVersion int64 `cbor:"3,keyasint,omitempty"`
+	// Age is how long ago the watcher asked for that state, in milliseconds.
+	Age int64 `cbor:"4,keyasint,omitempty"`
 }
 
 // Heartbeat is sent periodically to other daemons.
