--- a/internal/gateway/apply.go
+++ b/internal/gateway/apply.go
@@ -24,6 +24,7 @@
 func (g *Gateway) apply(changes []mirror.Change, revision int64) {
 	isNewEra := g.era.Swap(int64(infra.EraOf(revision))) != int64(infra.EraOf(revision))
 	if isNewEra {
+		g.options.Meters.StoreEra(g.era.Load())
 		// Registrations that the service has lost are written again.
 		g.storeRegainedAt.Store(int64(clock.Boot()))
 	}
--- a/internal/gateway/completeness.go
+++ b/internal/gateway/completeness.go
@@ -83,14 +83,27 @@
 
 // receiveCheckpoint compares a watcher's state with this daemon's.
 func (g *Gateway) receiveCheckpoint(checkpoint mesh.Checkpoint) {
-	if checkpoint.ConfigVersion > g.configVersion() {
+	result := "different"
+	switch {
+	case checkpoint.ConfigVersion > g.configVersion():
+		result = "newer configuration"
 		g.completeness.revoke()
 		g.setWatchPause()
-		return
-	}
-	if g.completeness.observe(clock.Boot(), checkpoint, g.digest(), g.settings.Load().MaxStaleness) {
+	case g.completeness.observe(clock.Boot(), checkpoint, g.digest(), g.settings.Load().MaxStaleness):
+		result = "same"
 		g.keeper.Apply(nil, checkpoint.Revision)
 	}
+	g.options.Meters.Checkpoint(result)
+}
+
+// copyIsProven reports whether this daemon's copy is known to be complete, and
+// logs when that changes.
+func (g *Gateway) copyIsProven() bool {
+	proven := g.completeness.isProven(clock.Boot()) && !g.storeDisconnected()
+	if g.copyWasProven.Swap(proven) != proven {
+		g.log.Info("proof that the copy of the key-value service is complete has changed", "proven", proven, "revision", g.mirror.Revision())
+	}
+	return proven
 }
 
 func (g *Gateway) configVersion() int64 {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -71,6 +71,7 @@
 	// completeness proves that the copy of the service is up to date between two
 	// polls, and lastCheckpointAt is when this daemon last sent checkpoints.
 	completeness     completeness
+	copyWasProven    atomic.Bool
 	lastCheckpointAt time.Duration
 	// storeWasLost is set while the service has not answered since it was found
 	// unreachable. Both are used by the goroutine of the heartbeats only.
--- a/internal/gateway/watchers.go
+++ b/internal/gateway/watchers.go
@@ -4,7 +4,6 @@
 	"slices"
 	"time"
 
-	"github.com/barleylift/barleylift/internal/clock"
 	"github.com/barleylift/barleylift/internal/fleet"
 	"github.com/barleylift/barleylift/internal/infra"
 	"github.com/barleylift/barleylift/internal/mesh"
@@ -85,7 +84,7 @@
 	switch {
 	case g.isWatcher():
 		pause, hold = watcherPause, watcherHold
-	case g.completeness.isProven(clock.Boot()) && !g.storeDisconnected():
+	case g.copyIsProven():
 		pause = provenWatchPause
 	}
 	g.platform.SetWatchTiming(pause, hold)
--- a/internal/metrics/gateway.go
+++ b/internal/metrics/gateway.go
@@ -18,7 +18,9 @@
 	engineReports *prometheus.CounterVec
 	kvCalls       *prometheus.CounterVec
 	meshBytes     *prometheus.CounterVec
+	checkpoints   *prometheus.CounterVec
 	version       prometheus.Gauge
+	storeEra      prometheus.Gauge
 }
 
 // NewGateway creates the collectors and registers them with the registerer.
@@ -33,11 +35,15 @@
 		engineReports: counter("engine_reports_total", "Questions to engines for their report, by result.", "result"),
 		kvCalls:       counter("gateway_kv_calls_total", "Calls to the key-value service by kind and result.", "kind", "result"),
 		meshBytes:     counter("mesh_bytes_total", "Bytes of datagrams between daemons by direction.", "direction"),
+		checkpoints:   counter("checkpoints_total", "Watchers' checkpoints by how this daemon's copy compared.", "result"),
+		storeEra: prometheus.NewGauge(prometheus.GaugeOpts{
+			Namespace: namespace, Name: "gateway_kv_era", Help: "Era of the key-value service; it rises with each return from an older copy.",
+		}),
 		version: prometheus.NewGauge(prometheus.GaugeOpts{
 			Namespace: namespace, Name: "routing_version", Help: "Configuration version in force.",
 		}),
 	}
-	registerer.MustRegister(g.requests, g.duration, g.firstEvent, g.loadWait, g.repeatedSends, g.engineOrders, g.engineReports, g.kvCalls, g.meshBytes, g.version)
+	registerer.MustRegister(g.requests, g.duration, g.firstEvent, g.loadWait, g.repeatedSends, g.engineOrders, g.engineReports, g.kvCalls, g.meshBytes, g.checkpoints, g.version, g.storeEra)
 	return g
 }
 
@@ -83,6 +89,16 @@
 	g.meshBytes.WithLabelValues(direction).Add(float64(n))
 }
 
+// Checkpoint counts a checkpoint of a watcher.
+func (g *Gateway) Checkpoint(result string) {
+	g.checkpoints.WithLabelValues(result).Inc()
+}
+
+// StoreEra sets the era of the key-value service.
+func (g *Gateway) StoreEra(era int64) {
+	g.storeEra.Set(float64(era))
+}
+
 // Version sets the configuration version in force.
 func (g *Gateway) Version(version int64) {
 	g.version.Set(float64(version))
