steer, orders: entries that rarely use a hot adapter's engines spread its requests

And they learn late which engines it was spread to: they asked again and again to spread it to engines that held it already, and used the crowded holders that they knew (154 such requests in 2 s for one adapter). Change: among engines of equal load a random number decides; an owner answers a request to spread an adapter that is ready. Tests: TestHoldersOfUnknownLoadAreUsedAlike (one of five engines got all), TestLoadRequestForAReadyAdapterIsAnswered.

--- a/internal/gateway/notices.go
+++ b/internal/gateway/notices.go
@@ -257,6 +257,9 @@
 			changes[i] = changeOf(message)
 		}
 		g.mirror.Inject(changes)
+	case packet.AdapterReady != nil:
+		ready := packet.AdapterReady
+		g.locator.MarkHeld(ready.Engine, topology.Adapter{Model: ready.Model, Name: ready.Adapter}, ready.Version)
 	case packet.Checkpoint != nil:
 		g.receiveCheckpoint(*packet.Checkpoint)
 	case packet.AdmissionProgress != nil:
@@ -300,7 +303,9 @@
 // engine's worker, and reports the status of an admission request to the entry.
 func (g *Gateway) handleRequest(entry, engine string, request locator.AdmissionRequest) {
 	if request.Ticket == 0 {
-		g.orders.RequestLoad(engine, request.Adapter, request.Version)
+		if g.orders.RequestLoad(engine, request.Adapter, request.Version) {
+			g.sendAdapterReady(entry, engine, request.Adapter, request.Version)
+		}
 		return
 	}
 	g.sendStatus(entry, g.orders.RequestAdmission(engine, admission.Request{
@@ -330,6 +335,19 @@
 	g.mesh.Send(owner.Mesh, mesh.Packet{AdmissionProgress: &mesh.AdmissionProgress{Engine: engine, Ticket: ticket, Refused: progress.Refused, Ended: progress.Ended}})
 }
 
+// sendAdapterReady tells an entry that has requested a load that the adapter is
+// ready. Entries know the adapters of engines that they don't use late, and would
+// go on to send all requests to the holders that they know.
+func (g *Gateway) sendAdapterReady(entry, engine string, adapter topology.Adapter, version int64) {
+	if entry == g.settings.Load().VM {
+		g.locator.MarkHeld(engine, adapter, version)
+		return
+	}
+	if m, ok := g.keeper.Member(entry); ok {
+		g.mesh.Send(m.Mesh, mesh.Packet{AdapterReady: &mesh.AdapterReady{Engine: engine, Model: adapter.Model, Adapter: adapter.Name, Version: version}})
+	}
+}
+
 // sendStatus sends the status of an admission request to its entry.
 func (g *Gateway) sendStatus(entry string, status orders.AdmissionStatus) {
 	if entry == g.settings.Load().VM {
--- a/internal/locator/locator.go
+++ b/internal/locator/locator.go
@@ -246,6 +246,15 @@
 	}
 }
 
+// MarkHeld records that an engine serves an adapter in the version or a newer one.
+func (l *Locator) MarkHeld(engine string, adapter topology.Adapter, version int64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if v := l.views[engine]; v != nil {
+		v.held[adapter] = max(v.held[adapter], version)
+	}
+}
+
 // MarkNotHeld records that an engine refused a request because it does not hold
 // the required version of the adapter.
 func (l *Locator) MarkNotHeld(engine string, adapter topology.Adapter) {
--- a/internal/mesh/packet.go
+++ b/internal/mesh/packet.go
@@ -18,6 +18,17 @@
 	Changes []Change `cbor:"8,keyasint,omitempty"`
 	// Checkpoint is a watcher's state of the key-value service.
 	Checkpoint *Checkpoint `cbor:"9,keyasint,omitempty"`
+	// AdapterReady answers a load request for an adapter that is ready.
+	AdapterReady *AdapterReady `cbor:"10,keyasint,omitempty"`
+}
+
+// AdapterReady says that an engine serves an adapter in the version or a newer
+// one.
+type AdapterReady struct {
+	Engine  string `cbor:"1,keyasint"`
+	Model   string `cbor:"2,keyasint"`
+	Adapter string `cbor:"3,keyasint"`
+	Version int64  `cbor:"4,keyasint,omitempty"`
 }
 
 // Checkpoint summarizes a watcher's copy of the key-value service.
--- a/internal/orders/pool.go
+++ b/internal/orders/pool.go
@@ -153,11 +153,11 @@
 	return status
 }
 
-// RequestLoad requests that an engine load an adapter for later requests.
-func (p *Pool) RequestLoad(engine string, adapter topology.Adapter, version int64) {
-	if w := p.worker(engine); w != nil {
-		w.requestLoad(clock.Boot(), adapter, version)
-	}
+// RequestLoad requests that an engine load an adapter for later requests. It
+// reports whether the adapter is ready there already.
+func (p *Pool) RequestLoad(engine string, adapter topology.Adapter, version int64) bool {
+	w := p.worker(engine)
+	return w != nil && w.requestLoad(clock.Boot(), adapter, version)
 }
 
 // AdmissionProgress reports on a request that was admitted.
--- a/internal/orders/worker.go
+++ b/internal/orders/worker.go
@@ -143,11 +143,17 @@
 	return residency.Waiting
 }
 
-func (w *worker) requestLoad(now time.Duration, adapter topology.Adapter, version int64) {
+// requestLoad requests a load, unless the adapter is ready, and reports whether
+// it is.
+func (w *worker) requestLoad(now time.Duration, adapter topology.Adapter, version int64) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	if w.status(adapter, version) == residency.Ready {
+		return true
+	}
 	w.engine.RequestLoad(now, adapter, version)
 	w.signal()
+	return false
 }
 
 func (w *worker) handleProgress(now time.Duration, key admission.Key, progress AdmissionProgress) {
--- a/internal/orders/worker_test.go
+++ b/internal/orders/worker_test.go
@@ -133,3 +133,28 @@
 		t.Errorf("request for the held adapter: %+v, want one that waits for the batch", status)
 	}
 }
+
+// The load: a hot adapter has been spread to an engine, and an entry that does
+// not know it asks to spread it there again. It must learn that the adapter is
+// ready, or it keeps sending all requests to the crowded holders that it knows.
+func TestLoadRequestForAReadyAdapterIsAnswered(t *testing.T) {
+	pool, err := New(Config{
+		Client: &unreachableClient{}, Holder: "vm",
+		MayOrder:     func(string) (fleet.Token, bool) { return 1, true },
+		ReportStatus: func(string, AdmissionStatus) {},
+		Log:          slog.New(slog.NewTextHandler(io.Discard, nil)),
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	pool.Assign(t.Context(), []Assignment{{Engine: topology.Upstream{ID: "e", Incarnation: 1, Slots: 4}, Spec: residency.Spec{Capacity: 8, Model: "base"}}})
+	for !pool.RequestLoad("e", climb, 1) {
+		time.Sleep(time.Millisecond)
+	}
+	if pool.RequestLoad("e", climb, 2) || pool.RequestLoad("e", topology.Adapter{Model: "base", Name: "cold"}, 1) {
+		t.Error("a newer version or another adapter counts as ready")
+	}
+	if pool.RequestLoad("unknown", climb, 1) {
+		t.Error("an engine of another daemon counts as ready")
+	}
+}
--- a/internal/steer/engine.go
+++ b/internal/steer/engine.go
@@ -3,9 +3,11 @@
 import (
 	"cmp"
 	"slices"
+	"strconv"
 
 	"github.com/barleylift/barleylift/internal/placement"
 	"github.com/barleylift/barleylift/internal/topology"
+	"github.com/cespare/xxhash/v2"
 )
 
 // Constants of the choice of an engine.
@@ -84,7 +86,7 @@
 		return Choice{}, false
 	}
 	if adapter.Name == "" {
-		return Choice{Engine: leastLoaded(engines).ID}, true
+		return Choice{Engine: leastLoaded(engines, random).ID}, true
 	}
 	var holders, olderHolders []Engine
 	for _, e := range engines {
@@ -98,7 +100,7 @@
 	if len(holders) == 0 && len(olderHolders) == 0 {
 		return Choice{Engine: loadTarget(adapter, excludeIfPossible(engines, holdsOlder)), NeedsLoad: true}, true
 	}
-	best := leastLoadedHolder(holders, olderHolders)
+	best := leastLoadedHolder(holders, olderHolders, random)
 	choice := Choice{Engine: best.ID}
 	if len(holders) < len(olderHolders) {
 		choice.SpreadTo = newVersionTarget(adapter, engines, len(olderHolders), random)
@@ -110,15 +112,15 @@
 
 // leastLoadedHolder returns the least loaded holder of the version in force, or
 // one of the older version if that has clearly less load.
-func leastLoadedHolder(holders, olderHolders []Engine) Engine {
+func leastLoadedHolder(holders, olderHolders []Engine, random uint64) Engine {
 	if len(olderHolders) == 0 {
-		return leastLoaded(holders)
+		return leastLoaded(holders, random)
 	}
-	older := leastLoaded(olderHolders)
+	older := leastLoaded(olderHolders, random)
 	if len(holders) == 0 {
 		return older
 	}
-	newer := leastLoaded(holders)
+	newer := leastLoaded(holders, random)
 	if older.load()+1 < newer.load() {
 		return older
 	}
@@ -153,16 +155,20 @@
 	return candidates[random%uint64(len(candidates))].ID
 }
 
-// leastLoaded returns the engine with the least load.
-func leastLoaded(engines []Engine) Engine {
+// leastLoaded returns the engine with the least load. Among equal ones the random
+// number decides: an entry knows no load of engines that it has not used lately,
+// and hundreds of entries would all choose the same one.
+func leastLoaded(engines []Engine, random uint64) Engine {
 	return slices.MinFunc(engines, func(a, b Engine) int {
-		if c := cmp.Compare(a.load(), b.load()); c != 0 {
-			return c
-		}
-		return cmp.Compare(a.ID, b.ID)
+		return cmp.Or(cmp.Compare(a.load(), b.load()), cmp.Compare(a.tieBreaker(random), b.tieBreaker(random)))
 	})
 }
 
+// tieBreaker orders engines of equal load differently for each random number.
+func (e Engine) tieBreaker(random uint64) uint64 {
+	return xxhash.Sum64String(e.ID + strconv.FormatUint(random, 16))
+}
+
 // load returns the engine's load, in waiting requests.
 func (e Engine) load() float64 {
 	load := float64(e.Queued) + float64(e.Running)/runningPerQueued
--- a/internal/steer/steer_test.go
+++ b/internal/steer/steer_test.go
@@ -278,7 +278,7 @@
 				return engine.ID
 			}
 		}
-		return leastLoaded(e).ID
+		return leastLoaded(e, 0).ID
 	})
 	t.Logf("fetches: %d by homes, %d by least load", byHome, byLoad)
 	if byHome >= byLoad {
@@ -294,3 +294,27 @@
 	}
 	return false
 }
+
+// The load: hundreds of entries, each of which sends a hot adapter's requests too
+// rarely to know the load of its holders. Together they must use all holders
+// alike, not the first by name.
+func TestHoldersOfUnknownLoadAreUsedAlike(t *testing.T) {
+	const holders, requests = 5, 5000
+	for _, adapter := range []topology.Adapter{hot, {Model: "m"}} {
+		engines := testEngines(holders)
+		for i := range engines {
+			engines[i].Holds = true
+		}
+		counts := make(map[string]int)
+		random := rand.New(rand.NewPCG(1, 0))
+		for range requests {
+			choice, _ := PickEngine(adapter, engines, random.Uint64())
+			counts[choice.Engine]++
+		}
+		for _, e := range engines {
+			if share := float64(counts[e.ID]) * holders / requests; share < 0.8 || share > 1.2 {
+				t.Errorf("adapter %q: %s gets %.2f of an equal share", adapter.Name, e.ID, share)
+			}
+		}
+	}
+}
