relay: engines are chosen anew after 200 ms of waiting for a batch

Change: the next choice comes after 200 ms in place of 500. A request that chooses the same engine loses nothing, as admissions go by due time.

--- a/internal/relay/model.go
+++ b/internal/relay/model.go
@@ -18,8 +18,9 @@
 // Limits of model requests.
 const (
 	// maxAdmissionWait is how long a request waits for admission at one engine
-	// that holds its adapter: several batches of prompts.
-	maxAdmissionWait = 500 * time.Millisecond
+	// that holds its adapter: a batch of prompts or two. An entry knows the queue of
+	// an engine that it rarely uses only once it has asked there.
+	maxAdmissionWait = 200 * time.Millisecond
 	// declinedBackoff is the pause before the next choice of an engine after an
 	// engine's owner declined; it doubles up to maxDeclinedBackoff.
 	declinedBackoff    = 30 * time.Millisecond
