--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -69,13 +69,14 @@
 	// storeRegainedAt is when the service last became reachable, by clock.Boot.
 	storeRegainedAt atomic.Int64
 	// completeness proves that the copy of the service is up to date between two
-	// polls, and lastCheckpointAt is when this daemon last sent checkpoints.
-	completeness     completeness
-	copyWasProven    atomic.Bool
+	// polls, and copyWasProven is what was last logged of that.
+	completeness  completeness
+	copyWasProven atomic.Bool
+	// lastCheckpointAt is when this daemon last sent checkpoints, and storeWasLost
+	// is set while it can't reach the service. Only the goroutine of the heartbeats
+	// uses them.
 	lastCheckpointAt time.Duration
-	// storeWasLost is set while the service has not answered since it was found
-	// unreachable. Both are used by the goroutine of the heartbeats only.
-	storeWasLost bool
+	storeWasLost     bool
 	// era is the era of the key-value service that was applied last.
 	era atomic.Int64
 
--- a/internal/orders/worker_test.go
+++ b/internal/orders/worker_test.go
@@ -100,10 +100,9 @@
 	}
 }
 
-// The load: several requests wait for adapters that are being loaded, none for
-// the engine's batch. Entries must not take the loads for a long queue: they
-// would load the adapters that the engine holds at other engines too.
-func TestRequestsForColdAdaptersDoNotCountAsQueued(t *testing.T) {
+// newPool returns a pool with one engine, e, that holds the adapter climb.
+func newPool(t *testing.T) *Pool {
+	t.Helper()
 	pool, err := New(Config{
 		Client: &unreachableClient{}, Holder: "vm",
 		MayOrder:     func(string) (fleet.Token, bool) { return 1, true },
@@ -115,6 +114,14 @@
 	}
 	engine := topology.Upstream{ID: "e", Incarnation: 1, Slots: 4}
 	pool.Assign(t.Context(), []Assignment{{Engine: engine, Spec: residency.Spec{Capacity: 8, Model: "base"}}})
+	return pool
+}
+
+// The load: several requests wait for adapters that are being loaded, none for
+// the engine's batch. Entries must not take the loads for a long queue: they
+// would load the adapters that the engine holds at other engines too.
+func TestRequestsForColdAdaptersDoNotCountAsQueued(t *testing.T) {
+	pool := newPool(t)
 	request := func(ticket uint64, adapter topology.Adapter) AdmissionStatus {
 		return pool.RequestAdmission("e", admission.Request{
 			Key: admission.Key{Entry: "vm", Ticket: ticket}, Adapter: adapter, PromptTokens: 10, PauseObjective: time.Second,
@@ -138,16 +145,7 @@
 // not know it asks to spread it there again. It must learn that the adapter is
 // ready, or it keeps sending all requests to the crowded holders that it knows.
 func TestLoadRequestForAReadyAdapterIsAnswered(t *testing.T) {
-	pool, err := New(Config{
-		Client: &unreachableClient{}, Holder: "vm",
-		MayOrder:     func(string) (fleet.Token, bool) { return 1, true },
-		ReportStatus: func(string, AdmissionStatus) {},
-		Log:          slog.New(slog.NewTextHandler(io.Discard, nil)),
-	})
-	if err != nil {
-		t.Fatal(err)
-	}
-	pool.Assign(t.Context(), []Assignment{{Engine: topology.Upstream{ID: "e", Incarnation: 1, Slots: 4}, Spec: residency.Spec{Capacity: 8, Model: "base"}}})
+	pool := newPool(t)
 	for !pool.RequestLoad("e", climb, 1) {
 		time.Sleep(time.Millisecond)
 	}
--- a/internal/residency/engine.go
+++ b/internal/residency/engine.go
@@ -239,6 +239,11 @@
 	Late float64
 }
 
+// isWaitedFor reports whether a request waits that a load now would serve.
+func (d Demand) isWaitedFor() bool {
+	return d.Timely > 0 || d.Late > 0
+}
+
 // value returns what a load now is worth.
 func (d Demand) value() float64 {
 	return speculativeValue + d.Timely + lateValue*d.Late
--- a/internal/residency/next.go
+++ b/internal/residency/next.go
@@ -211,6 +211,7 @@
 	return adapters
 }
 
+// compare orders two requests by which adapter is loaded first.
 func (r *loadRequest) compare(other *loadRequest, longestWaitFirst bool, name, otherName string) int {
 	byValue := cmp.Compare(other.demand.value(), r.demand.value())
 	byWait := cmp.Compare(r.firstRequestedAt, other.firstRequestedAt)
@@ -218,13 +219,13 @@
 	if !longestWaitFirst {
 		return cmp.Or(byValue, cmp.Compare(r.demand.Due, other.demand.Due), byWait, byName)
 	}
-	isUnused := func(r *loadRequest) int {
-		if r.demand.value() > speculativeValue {
-			return 0
+	if isWaited, otherIsWaited := r.demand.isWaitedFor(), other.demand.isWaitedFor(); isWaited != otherIsWaited {
+		if isWaited {
+			return -1
 		}
 		return 1
 	}
-	return cmp.Or(cmp.Compare(isUnused(r), isUnused(other)), byWait, byName)
+	return cmp.Or(byWait, byName)
 }
 
 // orderFor returns the next order towards loading a requested adapter, or nil
