Small faults found by readers: an order that was stopped is not logged as sent, replay does not wait after its last attempt

The fleet write rate's error says what is refused (negative rates); fields and a method that nothing read are gone (admission's waiter.enqueuedAt, catalog's patternChecker.seen, owner.Pool.MarkLeaving, policy's unusedPermits).

--- a/internal/admission/gate.go
+++ b/internal/admission/gate.go
@@ -69,7 +69,6 @@
 // waiter is a request that waits for admission.
 type waiter struct {
 	Request
-	enqueuedAt      time.Duration
 	lastRequestedAt time.Duration
 }
 
@@ -106,7 +105,7 @@
 	}
 	w := g.waiting[r.Key]
 	if w == nil {
-		w = &waiter{enqueuedAt: now}
+		w = &waiter{}
 		g.waiting[r.Key] = w
 	}
 	w.Request = r
--- a/internal/catalog/patterns.go
+++ b/internal/catalog/patterns.go
@@ -13,12 +13,11 @@
 // patternChecker finds patterns that net/http's ServeMux rejects, alone or
 // together with earlier ones.
 type patternChecker struct {
-	mux  *http.ServeMux
-	seen map[string]bool
+	mux *http.ServeMux
 }
 
 func newPatternChecker() *patternChecker {
-	m := &patternChecker{mux: http.NewServeMux(), seen: make(map[string]bool)}
+	m := &patternChecker{mux: http.NewServeMux()}
 	for _, pattern := range reservedPatterns {
 		m.mux.Handle(pattern, http.NotFoundHandler())
 	}
--- a/internal/orders/worker.go
+++ b/internal/orders/worker.go
@@ -388,6 +388,10 @@
 	now := clock.Boot()
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	if errors.Is(err, ErrNotAllowed) {
+		w.log.Info("order not sent, permission was lost meanwhile", "kind", order.Kind.String(), "adapter", order.Adapter.String(), "token", int64(token))
+		return
+	}
 	level := slog.LevelInfo
 	if order.Kind == residency.CheckLoad && result == residency.Accepted {
 		level = slog.LevelDebug // the load still runs, which decides nothing
@@ -395,9 +399,6 @@
 	w.log.Log(ctx, level, "order sent", "kind", order.Kind.String(), "adapter", order.Adapter.String(), "version", order.Version,
 		"precondition", order.Precondition, "token", int64(token), "result", result.String(), "took_ms", (now - started).Milliseconds(), "error", err)
 	w.pool.config.CountOrder(order.Kind.String(), result.String())
-	if errors.Is(err, ErrNotAllowed) {
-		return
-	}
 	w.recordReachability(now, err)
 	switch {
 	case errors.Is(err, ErrUnreachable):
--- a/internal/owner/pool.go
+++ b/internal/owner/pool.go
@@ -216,15 +216,6 @@
 	return a == b
 }
 
-// MarkLeaving marks the VM of an engine as leaving. The address is the engine's
-// base URL or its host:port.
-func (p *Pool) MarkLeaving(address string) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.leaving[hostOf(address)] = true
-	p.applyLeaving()
-}
-
 // ApplyVMs applies the platform's list of VMs. Engines on leaving VMs get no
 // new calls. A predecessor whose VM is not listed is no longer waited for, see
 // hasPredecessorEnded.
--- a/internal/ownership/config.go
+++ b/internal/ownership/config.go
@@ -92,7 +92,7 @@
 	case c.TakeoverStep < 0:
 		return errors.New("takeover step: must not be negative")
 	case c.FleetWriteRate < 0:
-		return errors.New("fleet write rate: must be positive")
+		return errors.New("fleet write rate: must not be negative")
 	case c.GroupSize < 1 || c.GroupSize > maxGroupSize:
 		return errors.New("group size: must be between 1 and 100")
 	}
--- a/internal/policy/replay.go
+++ b/internal/policy/replay.go
@@ -78,8 +78,6 @@
 	nextGrantAt   time.Time
 	loads         int
 	evictions     int
-	// unusedPermits counts permits that were returned without a load.
-	unusedPermits int
 }
 
 // Run replays a workload under a policy.
@@ -288,7 +286,6 @@
 // call waits for the adapter any more or no slot is free.
 func (r *replay) startLoad(e *engine, adapter call.AdapterRef) {
 	if !e.demanded(r.now)[adapter] || !r.makeRoom(e) {
-		r.unusedPermits++
 		r.releasePermit(e, adapter)
 		return
 	}
--- a/internal/replay/caller.go
+++ b/internal/replay/caller.go
@@ -107,7 +107,7 @@
 	var last attemptResult
 	for attempt := range maxAttempts {
 		last = c.send(ctx, item, c.entryFor(ctx, attempt))
-		if last.violation != "" || !shouldRetry(item, last) {
+		if last.violation != "" || !shouldRetry(item, last) || attempt == maxAttempts-1 {
 			return last, attempt + 1
 		}
 		if !clock.Sleep(ctx, max(last.retryAfter, minRetryDelay)) {
--- a/internal/residency/engine_test.go
+++ b/internal/residency/engine_test.go
@@ -41,7 +41,6 @@
 
 const (
 	fakeLoadTime = 200 * time.Millisecond
-	reportDelay  = 100 * time.Millisecond
 )
 
 func newFakeEngine(t interface{ Fatalf(string, ...any) }, slots int) *fakeEngine {
