--- a/internal/hop/exchange.go
+++ b/internal/hop/exchange.go
@@ -53,12 +53,16 @@
 	Written bool
 	// Reused is set if the connection had served an earlier request.
 	Reused bool
-	Err    error
+	// Conn identifies the connection; 0 if there was none.
+	Conn ConnID
+	// Skipped is the number of responses to other requests that were skipped.
+	Skipped int
+	Err     error
 }
 
 // Error implements error.
 func (e *Error) Error() string {
-	return fmt.Sprintf("%v (written: %t, connection reused: %t)", e.Err, e.Written, e.Reused)
+	return fmt.Sprintf("%v (written: %t, connection reused: %t, responses skipped: %d)", e.Err, e.Written, e.Reused, e.Skipped)
 }
 
 // Unwrap returns the underlying error.
@@ -74,6 +78,8 @@
 // then call Release or Discard.
 type Response struct {
 	*http.Response
+	// Skipped is the number of responses to other requests that were skipped.
+	Skipped int
 	conn    *conn
 	written <-chan error
 	// respondedEarly is set if the response arrived before the request was
@@ -102,17 +108,17 @@
 	if err != nil {
 		stop()
 		c.close()
-		return nil, &Error{Written: true, Reused: c.reused, Err: contextCause(ctx, err)}
+		return nil, &Error{Written: true, Reused: c.reused, Conn: c.id, Err: contextCause(ctx, err)}
 	}
-	response, err := c.readHead(request, options.Matches)
+	response, skipped, err := c.readHead(request, options.Matches)
 	if err != nil {
 		stop()
 		c.close()
-		return nil, &Error{Written: true, Reused: c.reused, Err: contextCause(ctx, err)}
+		return nil, &Error{Written: true, Reused: c.reused, Conn: c.id, Skipped: skipped, Err: contextCause(ctx, err)}
 	}
 	body := &trackedBody{source: response.Body}
 	response.Body = body
-	r := &Response{Response: response, conn: c, written: written, body: body, stopContextWatch: stop}
+	r := &Response{Response: response, Skipped: skipped, conn: c, written: written, body: body, stopContextWatch: stop}
 	select {
 	case err := <-written:
 		r.respondedEarly = err != nil
@@ -164,27 +170,27 @@
 }
 
 // readHead reads response heads until one is the final response to the request.
-func (c *conn) readHead(request *Request, matches func(http.Header) bool) (*http.Response, error) {
-	stale := 0
+// It returns how many responses to other requests it has skipped.
+func (c *conn) readHead(request *Request, matches func(http.Header) bool) (final *http.Response, skipped int, err error) {
 	for {
 		c.limited.remaining = maxHeadBytes
 		response, err := http.ReadResponse(c.reader, &http.Request{Method: request.Method})
 		if err != nil {
-			return nil, err
+			return nil, skipped, err
 		}
 		c.limited.remaining = math.MaxInt64
 		if response.StatusCode/100 == 1 {
 			continue
 		}
 		if matches == nil || matches(response.Header) {
-			return response, nil
+			return response, skipped, nil
 		}
-		stale++
-		if stale > maxStaleResponses || response.Close || response.ContentLength < 0 && !chunked(response) {
-			return nil, errForeignResponse
+		skipped++
+		if skipped > maxStaleResponses || response.Close || response.ContentLength < 0 && !chunked(response) {
+			return nil, skipped, errForeignResponse
 		}
 		if n, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxStaleBodyBytes+1)); err != nil || n > maxStaleBodyBytes {
-			return nil, errForeignResponse
+			return nil, skipped, errForeignResponse
 		}
 	}
 }
@@ -226,6 +232,11 @@
 	return r.conn.reused
 }
 
+// Conn identifies the connection of the exchange.
+func (r *Response) Conn() ConnID {
+	return r.conn.id
+}
+
 // idleTimeout returns how long the connection of a response may stay idle,
 // according to the upstream's Keep-Alive header.
 func idleTimeout(response *http.Response) time.Duration {
--- a/internal/hop/pool.go
+++ b/internal/hop/pool.go
@@ -46,6 +46,12 @@
 	closed bool
 }
 
+// ConnID identifies a connection within this process; 0 for none.
+type ConnID uint64
+
+// lastConnID is the ID of the connection that was opened last.
+var lastConnID atomic.Uint64
+
 // NewPool returns a pool without connections. limit is the maximum number of
 // open connections.
 func NewPool(address netip.AddrPort, limit int) *Pool {
@@ -152,7 +158,7 @@
 		return nil, errors.Join(ErrConnect, err)
 	}
 	limited := &limitedReader{source: raw, remaining: math.MaxInt64}
-	return &conn{Conn: raw, pool: p, limited: limited, reader: bufio.NewReaderSize(limited, readBufferBytes)}, nil
+	return &conn{Conn: raw, id: ConnID(lastConnID.Add(1)), pool: p, limited: limited, reader: bufio.NewReaderSize(limited, readBufferBytes)}, nil
 }
 
 func (p *Pool) connClosed() {
@@ -180,6 +186,7 @@
 // conn is one connection. It is used by one exchange at a time.
 type conn struct {
 	net.Conn
+	id          ConnID
 	pool        *Pool
 	limited     *limitedReader
 	reader      *bufio.Reader
--- a/internal/metrics/gateway.go
+++ b/internal/metrics/gateway.go
@@ -14,6 +14,8 @@
 	firstEvent    *prometheus.HistogramVec
 	loadWait      *prometheus.HistogramVec
 	repeatedSends *prometheus.CounterVec
+	refusals      *prometheus.CounterVec
+	skipped       *prometheus.CounterVec
 	engineOrders  *prometheus.CounterVec
 	engineReports *prometheus.CounterVec
 	kvCalls       *prometheus.CounterVec
@@ -31,6 +33,8 @@
 		firstEvent:    histogram("first_event_seconds", "Time from the arrival of a request to the first event of its answer.", latencyBuckets, "route"),
 		loadWait:      histogram("adapter_wait_seconds", "Time that a request waited for its adapter at one engine.", latencyBuckets, "route"),
 		repeatedSends: counter("repeated_sends_total", "Sends beyond the first one of a request, by service.", "service", "kind"),
+		refusals:      counter("upstream_refusals_total", "Upstreams' responses that a request has not run, by service and by what ties them to the request's last send.", "service", "attribution"),
+		skipped:       counter("skipped_responses_total", "Responses to other requests on upstreams' connections, by service.", "service"),
 		engineOrders:  counter("engine_orders_total", "Orders to engines by kind and result.", "kind", "result"),
 		engineReports: counter("engine_reports_total", "Questions to engines for their report, by result.", "result"),
 		kvCalls:       counter("gateway_kv_calls_total", "Calls to the key-value service by kind and result.", "kind", "result"),
@@ -43,7 +47,7 @@
 			Namespace: namespace, Name: "routing_version", Help: "Configuration version in force.",
 		}),
 	}
-	registerer.MustRegister(g.requests, g.duration, g.firstEvent, g.loadWait, g.repeatedSends, g.engineOrders, g.engineReports, g.kvCalls, g.meshBytes, g.checkpoints, g.version, g.storeEra)
+	registerer.MustRegister(g.requests, g.duration, g.firstEvent, g.loadWait, g.repeatedSends, g.refusals, g.skipped, g.engineOrders, g.engineReports, g.kvCalls, g.meshBytes, g.checkpoints, g.version, g.storeEra)
 	return g
 }
 
@@ -69,6 +73,16 @@
 	g.repeatedSends.WithLabelValues(service, kind).Inc()
 }
 
+// Refusal counts an upstream's response that a request has not run.
+func (g *Gateway) Refusal(service, attribution string) {
+	g.refusals.WithLabelValues(service, attribution).Inc()
+}
+
+// ResponsesSkipped counts responses to other requests on a connection.
+func (g *Gateway) ResponsesSkipped(service string, n int) {
+	g.skipped.WithLabelValues(service).Add(float64(n))
+}
+
 // EngineOrder counts an order to an engine.
 func (g *Gateway) EngineOrder(kind, result string) {
 	g.engineOrders.WithLabelValues(kind, result).Inc()
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"log/slog"
 	"net/http"
 	"time"
 
@@ -33,6 +34,8 @@
 	// possibleRuns the sends after which the request may have run.
 	sends        int
 	possibleRuns int
+	// carriers lists the connections of earlier sends.
+	carriers []hop.ConnID
 	// tried lists the upstreams that must not be selected again.
 	tried []string
 	// admissionEngine and admissionTicket identify the admission whose progress is
@@ -197,6 +200,19 @@
 	mayHaveRun bool
 	// written is set if bytes may have reached the upstream.
 	written bool
+	// conn identifies the connection, and reused is set if it had served an
+	// earlier request.
+	conn   hop.ConnID
+	reused bool
+	// skipped is the number of responses to other requests on the connection.
+	skipped int
+	// attribution states to which sends the response may belong.
+	attribution attribution
+}
+
+// logAttributes returns what tells sends of one request apart in the log.
+func (s sendResult) logAttributes() slog.Attr {
+	return slog.Group("send", "connection", uint64(s.conn), "reused", s.reused, "skipped", s.skipped, "attribution", string(s.attribution))
 }
 
 // send sends the request to an upstream and reads the head of the response.
@@ -221,17 +237,26 @@
 	if err != nil {
 		var failure *hop.Error
 		written := errors.As(err, &failure) && failure.Written
-		return sendResult{err: err, written: written, mayHaveRun: written}
+		result := sendResult{err: err, written: written, mayHaveRun: written}
+		if written {
+			result.conn, result.reused, result.skipped = failure.Conn, failure.Reused, failure.Skipped
+		}
+		return result
 	}
 	head := protocol.DecodeResponseHead(response.StatusCode, response.Header)
+	result := sendResult{
+		response: response, head: head, written: true, conn: response.Conn(), reused: response.Reused(), skipped: response.Skipped,
+		attribution: attribute(head.RequestID, response.Conn(), response.Reused(), e.carriers),
+	}
 	if head.NotRun || head.Misdirected {
-		return sendResult{response: response, head: head, written: true}
+		return result
 	}
+	result.mayHaveRun = true
 	if err := e.checkHead(head, response.StatusCode); err != nil {
 		response.Discard()
-		return sendResult{err: err, written: true, mayHaveRun: true}
+		result.response, result.err = nil, err
 	}
-	return sendResult{response: response, head: head, written: true, mayHaveRun: true}
+	return result
 }
 
 // checkHead returns an error if the response to a request that may have run
--- a/internal/relay/model.go
+++ b/internal/relay/model.go
@@ -230,6 +230,10 @@
 func (e *exchange) countSend(result sendResult) {
 	if result.written {
 		e.sends++
+		e.carriers = append(e.carriers, result.conn)
+	}
+	if result.skipped > 0 {
+		e.relay.config.Metrics.ResponsesSkipped(e.service.Name, result.skipped)
 	}
 	if result.mayHaveRun {
 		e.possibleRuns++
@@ -250,7 +254,7 @@
 	if e.ctx.Err() != nil {
 		return e.endIfExpired()
 	}
-	e.relay.log.Info("send failed", "id", e.call.ID, "upstream", id, "written", result.written, "error", result.err)
+	e.relay.log.Info("send failed", "id", e.call.ID, "upstream", id, "written", result.written, "error", result.err, result.logAttributes())
 	e.relay.config.Locator.RecordFailure(id)
 	e.tried = append(e.tried, id)
 	e.reason = ""
@@ -264,7 +268,8 @@
 // handleRefusal records that an engine did not run the request.
 func (e *exchange) handleRefusal(upstream topology.Upstream, result sendResult) {
 	e.relay.log.Info("engine refused a request", "id", e.call.ID, "upstream", upstream.ID, "status", result.response.StatusCode,
-		"adapter", e.call.Adapter.String())
+		"adapter", e.call.Adapter.String(), result.logAttributes())
+	e.relay.config.Metrics.Refusal(e.service.Name, string(result.attribution))
 	if result.head.Misdirected {
 		e.reportAdmissionOver(true)
 		e.relay.config.Locator.MarkNotHeld(upstream.ID, e.call.Adapter)
--- a/internal/relay/plain.go
+++ b/internal/relay/plain.go
@@ -74,7 +74,8 @@
 		return e.handleSendFailure(id, result)
 	}
 	if result.head.NotRun || result.head.Misdirected {
-		e.relay.log.Info("replica refused a request", "id", e.call.ID, "upstream", id, "status", result.response.StatusCode)
+		e.relay.log.Info("replica refused a request", "id", e.call.ID, "upstream", id, "status", result.response.StatusCode, result.logAttributes())
+		e.relay.config.Metrics.Refusal(e.service.Name, string(result.attribution))
 		e.tried = append(e.tried, id)
 		if result.head.Misdirected {
 			locator.RecordFailure(id)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -28,6 +28,11 @@
 	FirstEvent(route string, took time.Duration)
 	LoadWait(route string, took time.Duration)
 	RepeatedSend(service, reason string)
+	// Refusal counts an upstream's response that the request has not run, by what
+	// ties the response to the request's last send.
+	Refusal(service, attribution string)
+	// ResponsesSkipped counts responses to other requests on a connection.
+	ResponsesSkipped(service string, n int)
 }
 
 // Config holds the dependencies of a Relay.
