--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -9,7 +9,6 @@
 	"testing"
 	"time"
 
-	"github.com/barleylift/barleylift/internal/hop"
 	"github.com/barleylift/barleylift/internal/limit"
 	"github.com/barleylift/barleylift/internal/locator"
 	"github.com/barleylift/barleylift/internal/metrics"
@@ -36,12 +35,9 @@
 	w.WriteHeader(status)
 }
 
-type noPools struct{}
-
-func (noPools) RequestPool(topology.Upstream) *hop.Pool { return nil }
-
-// newTestRelay returns a relay with one route to engines. sendRequest stands in
-// for the engines' owners.
+// newTestRelay returns a relay with a route to engines and one to a plain
+// service, whose requests run at most once. sendRequest stands in for the engines'
+// owners.
 func newTestRelay(t *testing.T, sendRequest func(l *locator.Locator, engine string, request locator.AdmissionRequest) bool) (*Relay, *locator.Locator) {
 	t.Helper()
 	log := slog.New(slog.NewTextHandler(io.Discard, nil))
@@ -59,7 +55,7 @@
 		t.Fatal(err)
 	}
 	r, err := New(Config{
-		Protocol: minimalProtocol{}, Locator: engines, Pools: noPools{}, Log: log,
+		Protocol: minimalProtocol{}, Locator: engines, Pools: &testPools{}, Log: log,
 		Budget:  func(string) *limit.RetryBudget { return budget },
 		Metrics: metrics.NewGateway(prometheus.NewRegistry()),
 	})
@@ -71,8 +67,11 @@
 		Routes: []routing.Route{{
 			Name: "s", Host: "gym.example", Prefix: "/s/", Kind: routing.Streaming, Timeout: time.Minute,
 			LatencyObjective: 200 * time.Millisecond, Shares: []routing.Share{{Service: "lm", Weight: 1}}, MaxAttempts: 1,
+		}, {
+			Name: "p", Host: "gym.example", Prefix: "/p/", Kind: routing.Unsafe, Timeout: time.Minute,
+			LatencyObjective: 200 * time.Millisecond, Shares: []routing.Share{{Service: "api", Weight: 1}}, MaxAttempts: 1,
 		}},
-		Services: []routing.Service{{Name: "lm", Engines: &routing.EngineSpec{}}},
+		Services: []routing.Service{{Name: "lm", Engines: &routing.EngineSpec{}}, {Name: "api"}},
 	})
 	if err != nil {
 		t.Fatal(err)
