relay, hop: no connection carries the same request twice

What callers saw: requests that must run once ran twice, or were refused with a promise after they had run (the users' incident). Cause: an identifier names a request, not a send of it. An engine refuses a request and repeats the refusal late, where the next answer on the connection is expected. Sent again to the same engine, the request went over the most recently used connection, the same one, and the copy was read as the answer to the new send, which ran. Class: evidence about one act is taken for evidence about a later one.

Change: the request's earlier connections are never reused for it, so an answer with its identifier can only belong to the one send that its connection has carried. The connections stay open for other requests, which skip the copy by its identifier. Besides, an older idle connection is now used where the newest one can't be.

Ruled out: the count of possible runs, which is right given the answers.

--- a/internal/hop/exchange.go
+++ b/internal/hop/exchange.go
@@ -39,6 +39,10 @@
 	// MaxIdle is the longest idle time of a connection that is reused; 0 forces a
 	// new connection.
 	MaxIdle time.Duration
+	// Avoid lists the connections that have carried the same request before. None
+	// of them is reused: an upstream may repeat its response to the earlier send,
+	// and nothing tells that from the response to this one.
+	Avoid []ConnID
 	// Matches reports whether a response header belongs to this request. Other
 	// responses are skipped. nil accepts every response.
 	Matches func(http.Header) bool
@@ -93,7 +97,7 @@
 // head has arrived. Errors are *Error values. The connection is closed when ctx
 // is done.
 func (p *Pool) Send(ctx context.Context, request *Request, options Options) (*Response, error) {
-	c, err := p.get(ctx, options.MaxIdle)
+	c, err := p.get(ctx, options.MaxIdle, options.Avoid)
 	if err != nil {
 		return nil, &Error{Err: err}
 	}
--- a/internal/hop/hop_test.go
+++ b/internal/hop/hop_test.go
@@ -302,3 +302,35 @@
 		t.Errorf("got %v, want only Accept", got)
 	}
 }
+
+// A connection to avoid is neither reused nor closed, and a pool at its limit
+// replaces it.
+func TestAvoidedConnectionIsNotReused(t *testing.T) {
+	server, pool := newScriptedServer(t, func(conn net.Conn, _ int32) bool {
+		fmt.Fprint(conn, responseText("a", "body"))
+		return true
+	})
+	exchange := func(avoid ...ConnID) *Response {
+		t.Helper()
+		response, err := pool.Send(t.Context(), &Request{Method: http.MethodGet, Target: "/", Host: "h", Header: http.Header{}}, Options{MaxIdle: time.Minute, Avoid: avoid})
+		if err != nil {
+			t.Fatal(err)
+		}
+		readBody(t, response)
+		response.Release()
+		return response
+	}
+	first := exchange()
+	second := exchange(first.Conn())
+	if second.Reused() || second.Conn() == first.Conn() {
+		t.Error("the connection to avoid was reused")
+	}
+	if third := exchange(second.Conn()); third.Conn() != first.Conn() {
+		t.Error("the idle connection that need not be avoided was not reused")
+	}
+	pool.SetLimit(1)
+	exchange(first.Conn(), second.Conn())
+	if n := server.accepted.Load(); n != 3 {
+		t.Errorf("%d connections were opened, want 3", n)
+	}
+}
--- a/internal/hop/pool.go
+++ b/internal/hop/pool.go
@@ -7,6 +7,7 @@
 	"math"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -99,11 +100,11 @@
 	}
 }
 
-// get returns an idle connection that has received nothing and was idle for no
-// longer than maxAge, or a new connection.
-func (p *Pool) get(ctx context.Context, maxAge time.Duration) (*conn, error) {
+// get returns an idle connection that has received nothing, was idle for no
+// longer than maxAge and is not one of avoid, or a new connection.
+func (p *Pool) get(ctx context.Context, maxAge time.Duration, avoid []ConnID) (*conn, error) {
 	for {
-		c, err := p.claimIdle(time.Now(), maxAge)
+		c, err := p.claimIdle(time.Now(), maxAge, avoid)
 		if err != nil {
 			return nil, err
 		}
@@ -119,19 +120,18 @@
 	return p.dial(ctx)
 }
 
-// claimIdle removes the most recently used idle connection from the pool. If
-// there is none that may be reused, it reserves a slot for a new connection and
+// claimIdle removes the most recently used idle connection that may be reused
+// from the pool. If there is none, it reserves a slot for a new connection and
 // returns nil.
-func (p *Pool) claimIdle(now time.Time, maxAge time.Duration) (*conn, error) {
+func (p *Pool) claimIdle(now time.Time, maxAge time.Duration, avoid []ConnID) (*conn, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.closed {
 		return nil, errPoolClosed
 	}
-	if n := len(p.idle); n > 0 {
-		c := p.idle[n-1]
-		if now.Before(c.usableUntil) && now.Sub(c.lastUsed) <= maxAge {
-			p.idle = p.idle[:n-1]
+	for i, c := range slices.Backward(p.idle) {
+		if now.Before(c.usableUntil) && now.Sub(c.lastUsed) <= maxAge && !slices.Contains(avoid, c.id) {
+			p.idle = slices.Delete(p.idle, i, i+1)
 			return c, nil
 		}
 	}
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -229,6 +229,7 @@
 	}
 	response, err := e.relay.config.Pools.RequestPool(upstream).Send(ctx, request, hop.Options{
 		MaxIdle: maxIdle,
+		Avoid:   e.carriers,
 		Matches: func(header http.Header) bool {
 			id := protocol.DecodeResponseHead(0, header).RequestID
 			return id == "" || id == e.call.ID
