upstream: a model engine's refusal without an identifier is not believed on a reused connection

A late repetition of another call's answer would have told the caller 'not run' and released the adapter's pin while the call ran. Calls carry an identifier of each attempt, which engines echo, so an answer that names another call was dropped before. Now such a failure on a reused connection ends the attempt as one whose execution isn't known; it is cancelled at the engine as after a lost connection.

TestUnidentifiedRefusalOnReusedConnectionIsNotBelieved failed for all four statuses and passes. Suspected, not seen in a run.

--- a/internal/upstream/engine_call.go
+++ b/internal/upstream/engine_call.go
@@ -16,6 +16,7 @@
 // Errors that end the response on one connection.
 var (
 	errForeignResponse = errors.New("the answer belongs to another request")
+	errUnidentified    = errors.New("the engine's failure has no identifier and its connection has carried other calls")
 	errWrongModel      = errors.New("the answer comes from another model")
 	errMissingEvents   = errors.New("events are missing from the stream")
 	errNoFinish        = errors.New("the stream ended without a finish reason")
@@ -39,6 +40,8 @@
 	finished        bool
 	responseStarted bool
 	connected       atomic.Bool
+	// reused is set while the connection is one that has carried other calls.
+	reused atomic.Bool
 }
 
 // Complete sends the call and delivers its parts to the sink until the response
@@ -83,9 +86,9 @@
 		return guard.wrapError(err)
 	}
 	defer func() { _ = response.Body.Close() }()
-	if id := response.Header.Get(HeaderRequestID); id != "" && id != a.call.Request.Attempt {
+	if err := a.checkIdentity(response); err != nil {
 		a.client.config.OnResponseDropped("attempt")
-		return errForeignResponse
+		return err
 	}
 	if response.StatusCode != http.StatusOK {
 		a.handleErrorStatus(response)
@@ -99,10 +102,26 @@
 	return guard.wrapError(a.readWhole(body))
 }
 
+// checkIdentity returns an error if a response may belong to another call. The
+// parts of a successful response are checked as they are read.
+func (a *attempt) checkIdentity(response *http.Response) error {
+	switch id := response.Header.Get(HeaderRequestID); {
+	case id != "" && id != a.call.Request.Attempt:
+		return errForeignResponse
+	case id == "" && response.StatusCode != http.StatusOK && a.reused.Load():
+		return errUnidentified
+	default:
+		return nil
+	}
+}
+
 // request builds the HTTP request. Its body cannot be rewound, so net/http
 // never sends it twice.
 func (a *attempt) request(ctx context.Context) *http.Request {
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { a.connected.Store(true) }}
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+		a.connected.Store(true)
+		a.reused.Store(info.Reused)
+	}}
 	ctx = httptrace.WithClientTrace(ctx, trace)
 	body := nonRewindableReader{bytes.NewReader(a.body)}
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, a.client.baseURL+a.call.Request.Path, body)
--- a/internal/upstream/engine_test.go
+++ b/internal/upstream/engine_test.go
@@ -143,6 +143,39 @@
 	}
 }
 
+// A refusal without an identifier on a reused connection may be a late repetition
+// of the answer to another call, while this one runs.
+func TestUnidentifiedRefusalOnReusedConnectionIsNotBelieved(t *testing.T) {
+	for _, status := range []int{http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusConflict, http.StatusNotFound} {
+		t.Run(fmt.Sprint(status), func(t *testing.T) {
+			var calls atomic.Int32
+			handler := http.NewServeMux()
+			handler.HandleFunc("POST /v1/completions", func(w http.ResponseWriter, _ *http.Request) {
+				if calls.Add(1) > 1 {
+					w.WriteHeader(status)
+					return
+				}
+				_, _ = fmt.Fprintf(w, `{"id":%q,"model":"a@1","choices":[{"finish_reason":"stop"}]}`, ownID)
+			})
+			handler.HandleFunc("POST /v1/requests/attempt-1/cancel", func(http.ResponseWriter, *http.Request) {})
+			server := httptest.NewServer(handler)
+			defer server.Close()
+			client, err := NewEngineClient(EngineClientConfig{Engine: catalog.Engine{Address: server.URL}})
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer client.Close()
+			if got := client.Complete(t.Context(), testCall(false), &partSink{}); got.Outcome != call.Done {
+				t.Fatalf("first call: %v", got.Result)
+			}
+			got := client.Complete(t.Context(), testCall(false), &partSink{})
+			if got.Outcome == call.NotRun || got.Execution == ExecutionNotStarted || got.Fenced || got.NotResident {
+				t.Errorf("the refusal was believed: %v, execution state %d", got.Result, got.Execution)
+			}
+		})
+	}
+}
+
 // An engine works on a call for longer than the idle timeout before it can send
 // anything.
 func TestSlowCallIsNotAborted(t *testing.T) {
