gateway, platform, relay: an upstream that says in an answer that it leaves gets nothing new

The header Server-Leaving of any answer of an engine (request, stream, order, report) is decoded once; a malformed value is logged and ignored, and an answer of another process at the address is not heard. From then on the process counts as leaving, whatever its registration says, by identifier and start: no request, stream, resumption, load or admission. Running answers end; requests waiting for admission there are declined by the owner, and one admitted meanwhile goes elsewhere, as the entry asks for the upstream just before it sends; sends already begun are finished. Heartbeats name it to the other daemons for 15 s. It outlives the registration (removed, or back from an older copy of the store), ends with a later start under the same identifier, and after ten minutes if the process is still registered as ready. Checkpoints and urgent changes go by what is registered, so that daemons that know more don't differ.

Tests: TestLeavingStatedInAnswers* (the first fails without the mark), TestStatementsAreDecoded.

--- a/internal/gateway/apply.go
+++ b/internal/gateway/apply.go
@@ -82,9 +82,10 @@
 		g.log.Info("registration of an earlier process ignored", "upstream", upstream.ID)
 		return
 	}
-	if ok && upstream.SameProcess(current) && current.Leaving {
+	if ok && upstream.SameProcess(current) && g.registeredLeaving(current) {
 		upstream.Leaving = true
 	}
+	upstream = g.applyStatement(upstream)
 	delete(g.removalDue, upstream.ID)
 	g.upstreams[upstream.ID] = upstream
 	if ok && upstream.Incarnation != current.Incarnation {
--- a/internal/gateway/completeness.go
+++ b/internal/gateway/completeness.go
@@ -122,6 +122,7 @@
 	defer g.mu.Unlock()
 	for id, u := range g.upstreams {
 		if _, isUnregistered := g.removalDue[id]; !isUnregistered {
+			u.Leaving = g.registeredLeaving(u)
 			sum += upstreamDigest(u)
 		}
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -89,6 +89,8 @@
 	// modelLoadNotBefore maps engines' processes to the earliest time to order a
 	// load of their base model.
 	modelLoadNotBefore map[processKey]time.Duration
+	// statedLeaving holds the processes that are known to leave from an answer.
+	statedLeaving map[processKey]*leavingStatement
 	// reassign triggers a new assignment of engines.
 	reassign chan struct{}
 }
@@ -127,6 +129,7 @@
 		upstreams:          make(map[string]topology.Upstream),
 		removalDue:         make(map[string]time.Duration),
 		modelLoadNotBefore: make(map[processKey]time.Duration),
+		statedLeaving:      make(map[processKey]*leavingStatement),
 		reassign:           make(chan struct{}, 1),
 		peers:              newPeers(),
 		forwardLimiter:     rate.NewLimiter(forwardRate, forwardBurst),
@@ -162,7 +165,7 @@
 		return err
 	}
 	if g.orders, err = orders.New(orders.Config{
-		Client:       g.platform.Engines(g.pools),
+		Client:       g.platform.Engines(g.pools, g.observeStatement),
 		Holder:       s.VM,
 		MayOrder:     g.keeper.MayOrder,
 		ReportStatus: g.sendStatus,
@@ -178,6 +181,7 @@
 		Pools:    g.pools,
 		Budget:   func(service string) *limit.RetryBudget { return g.budgets.of(service) },
 		Metrics:  meters,
+		Observe:  g.observeStatement,
 		Log:      log,
 	}); err != nil {
 		return err
@@ -251,6 +255,7 @@
 		case now := <-ticker.C:
 			g.pools.sweep(now)
 			g.removeExpired()
+			g.expireStatements()
 		}
 	}
 }
--- a/internal/gateway/notices.go
+++ b/internal/gateway/notices.go
@@ -115,6 +115,7 @@
 func (g *Gateway) sendHeartbeat(address, member string, heartbeat mesh.Heartbeat) {
 	heartbeat.Draining = g.draining.Load()
 	heartbeat.SentAt = int64(clock.Boot())
+	heartbeat.Leaving = g.recentStatements()
 	g.confirmOwnership(member, &heartbeat)
 	g.mesh.Send(address, mesh.Packet{Heartbeat: &heartbeat})
 }
@@ -276,6 +277,9 @@
 	if len(heartbeat.ConfirmedEngines) > 0 {
 		g.keeper.ConfirmOwnership(heartbeat.ConfirmedEngines, time.Duration(heartbeat.EchoedSentAt))
 	}
+	for _, process := range heartbeat.Leaving {
+		g.markLeaving(processKey{process.ID, process.Incarnation}, "heartbeat of "+from)
+	}
 	for _, use := range heartbeat.Uses {
 		g.orders.RecordUse(from, use.Engine, use.Running, usesOf(use))
 	}
--- a/internal/gateway/platform.go
+++ b/internal/gateway/platform.go
@@ -24,8 +24,9 @@
 	SetWatchTiming(pause, hold time.Duration)
 	// Protocol returns the translation of requests and responses.
 	Protocol() relay.Protocol
-	// Engines returns the client for orders to engines.
-	Engines(pools ControlPools) orders.Client
+	// Engines returns the client for orders to engines, which passes on what their
+	// answers say about later requests.
+	Engines(pools ControlPools, observe StatementObserver) orders.Client
 	// Decode decodes a change of the key-value service. If the value is invalid,
 	// it returns an error, together with the update that results from that.
 	Decode(change mirror.Change) (Update, error)
@@ -35,6 +36,10 @@
 	ReadyHandler(Directory) http.Handler
 }
 
+// StatementObserver records what an upstream's answer says about later requests.
+// answer names the answer in the log.
+type StatementObserver func(upstream topology.Upstream, statement topology.Statement, answer string)
+
 // ControlPools provides the connections for orders and reports.
 type ControlPools interface {
 	Control(upstream topology.Upstream) *hop.Pool
--- a/internal/gateway/servers.go
+++ b/internal/gateway/servers.go
@@ -106,6 +106,8 @@
 	InFlight      int64    `json:"in_flight"`
 	Engines       []string `json:"engines"`
 	Members       []string `json:"members"`
+	// Leaving lists the upstreams that have said in an answer that they leave.
+	Leaving []string `json:"leaving"`
 }
 
 func (g *Gateway) serveStatus(w http.ResponseWriter, _ *http.Request) {
@@ -117,6 +119,7 @@
 		Draining:      g.draining.Load(),
 		InFlight:      g.relay.InFlight(),
 		Engines:       g.keeper.OwnedEngines(),
+		Leaving:       g.leavingByStatement(),
 	}
 	if table := g.relay.Table(); table != nil {
 		message.Version = table.Version()
--- /dev/null
+++ b/internal/gateway/statements.go
@@ -0,0 +1,150 @@
+package gateway
+
+import (
+	"slices"
+	"time"
+
+	"github.com/barleylift/barleylift/internal/clock"
+	"github.com/barleylift/barleylift/internal/mesh"
+	"github.com/barleylift/barleylift/internal/topology"
+)
+
+// Constants of processes that say in an answer that they leave.
+const (
+	// statementTTL bounds how long such a process is avoided although it is still
+	// registered as ready: longer than any shutdown, so that one wrong answer
+	// doesn't take an engine away for good.
+	statementTTL = 10 * time.Minute
+	// statementSpreadPeriod is how long heartbeats name such a process. Each other
+	// daemon gets several heartbeats in that time.
+	statementSpreadPeriod = 15 * time.Second
+	// maxSpreadStatements bounds the processes that one heartbeat names, so that it
+	// fits into a datagram.
+	maxSpreadStatements = 16
+)
+
+// leavingStatement records that a process has said in an answer that it leaves.
+type leavingStatement struct {
+	learnedAt time.Duration
+	// registeredLeaving is what the process's registration says. Other daemons'
+	// copies of the key-value service are compared by it.
+	registeredLeaving bool
+}
+
+// observeStatement records what the answer of an upstream says about later
+// requests. Requests that run there go on; those that wait for admission there
+// are declined by the engine's owner or, once this daemon turns to the engine,
+// go elsewhere.
+func (g *Gateway) observeStatement(upstream topology.Upstream, statement topology.Statement, answer string) {
+	if statement.Invalid != "" {
+		g.log.Warn("invalid statement of an upstream ignored", "upstream", upstream.ID, "answer", answer, "value", statement.Invalid)
+	}
+	if statement.Leaving {
+		g.markLeaving(processKey{upstream.ID, upstream.Incarnation}, answer)
+	}
+}
+
+// markLeaving gives a process no new requests from now on, whatever its
+// registration says. source names where that was learned.
+func (g *Gateway) markLeaving(process processKey, source string) {
+	g.mu.Lock()
+	if g.statedLeaving[process] != nil {
+		g.mu.Unlock()
+		return
+	}
+	current, ok := g.upstreams[process.id]
+	if ok && current.Incarnation > process.incarnation {
+		g.mu.Unlock()
+		return // a later process has the identifier
+	}
+	isCurrent := ok && current.Incarnation == process.incarnation
+	g.statedLeaving[process] = &leavingStatement{learnedAt: clock.Boot(), registeredLeaving: isCurrent && current.Leaving}
+	if isCurrent {
+		current.Leaving = true
+		g.upstreams[process.id] = current
+	}
+	g.mu.Unlock()
+	g.log.Info("upstream says that it is leaving", "upstream", process.id, "born", process.incarnation, "source", source)
+	if isCurrent {
+		g.locator.SetUpstream(current)
+		g.signalReassign()
+	}
+}
+
+// applyStatement marks a registered process as leaving if it has said so in an
+// answer, and forgets what earlier processes of the upstream have said. The caller
+// holds mu.
+func (g *Gateway) applyStatement(upstream topology.Upstream) topology.Upstream {
+	for process := range g.statedLeaving {
+		if process.id == upstream.ID && process.incarnation < upstream.Incarnation {
+			delete(g.statedLeaving, process)
+		}
+	}
+	if statement := g.statedLeaving[processKey{upstream.ID, upstream.Incarnation}]; statement != nil {
+		statement.registeredLeaving = upstream.Leaving
+		upstream.Leaving = true
+	}
+	return upstream
+}
+
+// registeredLeaving reports whether an upstream is leaving according to its
+// registration alone. The caller holds mu.
+func (g *Gateway) registeredLeaving(upstream topology.Upstream) bool {
+	if statement := g.statedLeaving[processKey{upstream.ID, upstream.Incarnation}]; statement != nil {
+		return statement.registeredLeaving
+	}
+	return upstream.Leaving
+}
+
+// expireStatements forgets statements older than statementTTL. A process that is
+// still registered as ready gets requests again.
+func (g *Gateway) expireStatements() {
+	now := clock.Boot()
+	var returned []topology.Upstream
+	g.mu.Lock()
+	for process, statement := range g.statedLeaving {
+		if now-statement.learnedAt < statementTTL {
+			continue
+		}
+		delete(g.statedLeaving, process)
+		current, ok := g.upstreams[process.id]
+		if ok && current.Incarnation == process.incarnation && !statement.registeredLeaving {
+			current.Leaving = false
+			g.upstreams[process.id] = current
+			returned = append(returned, current)
+		}
+	}
+	g.mu.Unlock()
+	for _, upstream := range returned {
+		g.log.Warn("upstream said that it was leaving but stays registered as ready, using it again", "upstream", upstream.ID)
+		g.locator.SetUpstream(upstream)
+		g.signalReassign()
+	}
+}
+
+// leavingByStatement lists the upstreams that have said that they leave, for the
+// status page.
+func (g *Gateway) leavingByStatement() []string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	ids := []string{}
+	for process := range g.statedLeaving {
+		ids = append(ids, process.id)
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+// recentStatements returns the processes that heartbeats name as leaving.
+func (g *Gateway) recentStatements() []mesh.Process {
+	now := clock.Boot()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var processes []mesh.Process
+	for process, statement := range g.statedLeaving {
+		if now-statement.learnedAt < statementSpreadPeriod && len(processes) < maxSpreadStatements {
+			processes = append(processes, mesh.Process{ID: process.id, Incarnation: process.incarnation})
+		}
+	}
+	return processes
+}
--- a/internal/gateway/watchers.go
+++ b/internal/gateway/watchers.go
@@ -124,9 +124,10 @@
 	}
 	g.mu.Lock()
 	current, ok := g.upstreams[update.Upstream.ID]
+	registeredLeaving := ok && g.registeredLeaving(current)
 	g.mu.Unlock()
 	switch {
-	case ok && update.Upstream.Leaving != current.Leaving:
+	case ok && update.Upstream.Leaving != registeredLeaving:
 		return urgent
 	case !ok || !update.Upstream.SameProcess(current):
 		return useful
--- a/internal/mesh/packet.go
+++ b/internal/mesh/packet.go
@@ -59,12 +59,22 @@
 	// reached the sender.
 	ConfirmedEngines []string `cbor:"7,keyasint,omitempty"`
 	EchoedSentAt     int64    `cbor:"8,keyasint,omitempty"`
+	// Leaving lists processes of upstreams that have lately said in an answer that
+	// they leave.
+	Leaving []Process `cbor:"9,keyasint,omitempty"`
 	// Uses lists the sender's use of engines that the receiver owns.
 	Uses []EngineUse `cbor:"3,keyasint,omitempty"`
 	// States lists the states of engines that the sender owns.
 	States []EngineState `cbor:"4,keyasint,omitempty"`
 }
 
+// Process identifies a process of an upstream.
+type Process struct {
+	_           struct{} `cbor:",toarray"`
+	ID          string
+	Incarnation int64
+}
+
 // EngineUse is one entry's use of an engine since its last heartbeat.
 type EngineUse struct {
 	Engine   string       `cbor:"1,keyasint"`
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -246,6 +246,9 @@
 	result := sendResult{
 		response: response, head: head, written: true, conn: response.Conn(), reused: response.Reused(), skipped: response.Skipped,
 	}
+	if !head.Misdirected || head.UpstreamID == upstream.ID {
+		e.relay.config.Observe(upstream, head.Statement, "request "+e.call.ID)
+	}
 	if head.NotRun || head.Misdirected {
 		return result
 	}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -43,6 +43,9 @@
 	// Budget returns the retry budget of a service.
 	Budget  func(service string) *limit.RetryBudget
 	Metrics Metrics
+	// Observe records what an upstream's answer says about later requests. answer
+	// names the answer in the log.
+	Observe func(upstream topology.Upstream, statement topology.Statement, answer string)
 	Log     *slog.Logger
 }
 
@@ -58,7 +61,7 @@
 
 // New returns a Relay without a routing table.
 func New(config Config) (*Relay, error) {
-	if config.Protocol == nil || config.Locator == nil || config.Pools == nil || config.Budget == nil || config.Metrics == nil || config.Log == nil {
+	if config.Protocol == nil || config.Locator == nil || config.Pools == nil || config.Budget == nil || config.Metrics == nil || config.Observe == nil || config.Log == nil {
 		return nil, errors.New("relay: a dependency is missing")
 	}
 	return &Relay{config: config, log: config.Log.With("part", "relay")}, nil
--- a/internal/relay/types.go
+++ b/internal/relay/types.go
@@ -69,6 +69,8 @@
 	// ContentEncoded is set if the body has a content coding; such a body is not
 	// the one that the upstream sent.
 	ContentEncoded bool
+	// Statement is what the upstream says about later requests.
+	Statement topology.Statement
 }
 
 // Protocol translates between HTTP header fields and the types above.
