pausing, locator, relay, orders, gateway, platform: an upstream that asks for a pause gets nothing from this VM until it ends

The decision is its own package, without network: nothing during the pause, and after it each request returns at a time of its own, spread over half the pause. While all upstreams of a request pause, it waits if its time is within 250 ms, else it is refused at once and its caller told to come back when all requests are taken, spread again; never as not run if it may have run. A holder's pause that ends within 250 ms is preferred to a load elsewhere. Orders and requests for reports pause too, and the owner admits nothing there meanwhile. Bound to the process: a restart ends it.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -256,6 +256,7 @@
 			g.pools.sweep(now)
 			g.removeExpired()
 			g.expireStatements()
+			g.logEndedPauses()
 		}
 	}
 }
--- a/internal/gateway/statements.go
+++ b/internal/gateway/statements.go
@@ -37,11 +37,35 @@
 // go elsewhere.
 func (g *Gateway) observeStatement(upstream topology.Upstream, statement topology.Statement, answer string) {
 	if statement.Invalid != "" {
+		g.options.Meters.Statement("invalid")
 		g.log.Warn("invalid statement of an upstream ignored", "upstream", upstream.ID, "answer", answer, "value", statement.Invalid)
 	}
 	if statement.Leaving {
 		g.markLeaving(processKey{upstream.ID, upstream.Incarnation}, answer)
 	}
+	if statement.Pause > 0 {
+		g.startPause(upstream, statement.Pause, answer)
+	}
+}
+
+// startPause sends nothing to an upstream for a time: no request, and no order or
+// request for a report either, as the upstream wants nothing from this VM. The
+// other VMs go on, until it tells them the same.
+func (g *Gateway) startPause(upstream topology.Upstream, length time.Duration, answer string) {
+	until := g.locator.RecordPause(upstream.ID, upstream.Incarnation, length)
+	if until == 0 {
+		return
+	}
+	g.options.Meters.Statement("pause")
+	g.orders.Pause(upstream.ID, until)
+	g.log.Info("upstream asks for a pause", "upstream", upstream.ID, "answer", answer, "asked_ms", length.Milliseconds(), "ends_in_ms", (until - clock.Boot()).Milliseconds())
+}
+
+// logEndedPauses logs the upstreams that get all requests again after a pause.
+func (g *Gateway) logEndedPauses() {
+	for _, id := range g.locator.ForgetEndedPauses() {
+		g.log.Info("upstream gets all requests again after its pause", "upstream", id)
+	}
 }
 
 // markLeaving gives a process no new requests from now on, whatever its
@@ -64,6 +88,7 @@
 		g.upstreams[process.id] = current
 	}
 	g.mu.Unlock()
+	g.options.Meters.Statement("leaving")
 	g.log.Info("upstream says that it is leaving", "upstream", process.id, "born", process.incarnation, "source", source)
 	if isCurrent {
 		g.locator.SetUpstream(current)
--- a/internal/locator/locator.go
+++ b/internal/locator/locator.go
@@ -101,12 +101,13 @@
 	delete(l.services[v.upstream.Service], id)
 }
 
-// Upstream returns the registration of an upstream, unless it is leaving.
+// Upstream returns the registration of an upstream, unless it is leaving or
+// pauses.
 func (l *Locator) Upstream(id string) (topology.Upstream, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	v := l.views[id]
-	if v == nil || v.upstream.Leaving {
+	if v == nil || v.upstream.Leaving || v.pause.Active(clock.Boot()) {
 		return topology.Upstream{}, false
 	}
 	return v.upstream, true
@@ -122,15 +123,16 @@
 }
 
 // Engines returns the engines of a service for a request for an adapter, without
-// those that are leaving, lack the base model or were tried before.
-func (l *Locator) Engines(service string, adapter topology.Adapter, tried []string) []steer.Engine {
+// those that are leaving, pause, lack the base model or were tried before. random
+// is a number of the request.
+func (l *Locator) Engines(service string, adapter topology.Adapter, tried []string, random uint64) []steer.Engine {
 	now := clock.Boot()
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	needed, allowed := l.versions[adapter].at(now)
 	engines := make([]steer.Engine, 0, len(l.services[service]))
 	for id, v := range l.services[service] {
-		if v.upstream.Leaving || slices.Contains(tried, id) || !v.holdsModel(adapter.Model) {
+		if v.upstream.Leaving || slices.Contains(tried, id) || !v.holdsModel(adapter.Model) || !v.pause.Takes(now, random) {
 			continue
 		}
 		version, held := v.held[adapter]
@@ -151,14 +153,14 @@
 }
 
 // Replicas returns the replicas of a plain service, without those that are
-// leaving or were tried before.
-func (l *Locator) Replicas(service string, tried []string) []steer.Replica {
+// leaving, pause or were tried before. random is a number of the request.
+func (l *Locator) Replicas(service string, tried []string, random uint64) []steer.Replica {
 	now := clock.Boot()
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	replicas := make([]steer.Replica, 0, len(l.services[service]))
 	for id, v := range l.services[service] {
-		if v.upstream.Leaving || slices.Contains(tried, id) {
+		if v.upstream.Leaving || slices.Contains(tried, id) || !v.pause.Takes(now, random) {
 			continue
 		}
 		failures := v.failures.get(now)
--- /dev/null
+++ b/internal/locator/pause_test.go
@@ -0,0 +1,44 @@
+package locator
+
+import (
+	"testing"
+	"time"
+)
+
+// A pause holds for one process of an upstream: neither for a later one with the
+// same identifier, nor because of an answer of an earlier one. Whether the upstream
+// leaves is apart from that.
+func TestPauseHoldsForOneProcess(t *testing.T) {
+	o := newOwner(t)
+	first := engine("e", nil)
+	second := first
+	second.Incarnation = 2
+	leaving := second
+	leaving.Leaving = true
+	available := func() bool {
+		_, ok := o.locator.Upstream("e")
+		return ok && len(o.locator.Engines("lm", climb, nil, 0)) == 1
+	}
+	steps := []struct {
+		name string
+		do   func()
+		want bool
+	}{
+		{"registered", func() { o.locator.SetUpstream(first) }, true},
+		{"asks for a pause", func() { o.locator.RecordPause("e", 1, time.Hour) }, false},
+		{"registered again", func() { o.locator.SetUpstream(first) }, false},
+		{"restarted", func() { o.locator.SetUpstream(second) }, true},
+		{"late answer of the first process", func() { o.locator.RecordPause("e", 1, time.Hour) }, true},
+		{"pauses again", func() { o.locator.RecordPause("e", 2, time.Hour) }, false},
+		{"leaves in the pause", func() { o.locator.SetUpstream(leaving) }, false},
+	}
+	for _, step := range steps {
+		step.do()
+		if got := available(); got != step.want {
+			t.Errorf("%s: available %t, want %t", step.name, got, step.want)
+		}
+	}
+	if _, _, ok := o.locator.PauseEnd("lm", climb, false, 0); ok {
+		t.Error("the end of the pause of an upstream that leaves is offered to callers")
+	}
+}
--- a/internal/locator/view.go
+++ b/internal/locator/view.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/barleylift/barleylift/internal/orders"
+	"github.com/barleylift/barleylift/internal/pausing"
 	"github.com/barleylift/barleylift/internal/residency"
 	"github.com/barleylift/barleylift/internal/topology"
 )
@@ -51,8 +52,10 @@
 	// unownedUntil is until when requests that need no load are sent without
 	// admission.
 	unownedUntil time.Duration
-	failures     decayingCount
-	latency      time.Duration
+	// pause is the pause that the upstream asked this VM for.
+	pause    pausing.Pause
+	failures decayingCount
+	latency  time.Duration
 }
 
 // use is an adapter's use since the last heartbeat to the owner.
@@ -95,6 +98,7 @@
 	v.upstream = upstream
 	if restarted {
 		v.hasState = false
+		v.pause = pausing.Pause{}
 	}
 	if restarted || !v.hasState || now-v.stateReceivedAt > stateTTL {
 		v.setHeldFromRegistration()
--- a/internal/metrics/gateway.go
+++ b/internal/metrics/gateway.go
@@ -17,6 +17,7 @@
 	repeatedSends *prometheus.CounterVec
 	refusals      *prometheus.CounterVec
 	skipped       *prometheus.CounterVec
+	statements    *prometheus.CounterVec
 	engineOrders  *prometheus.CounterVec
 	engineReports *prometheus.CounterVec
 	kvCalls       *prometheus.CounterVec
@@ -36,6 +37,7 @@
 		repeatedSends: counter("repeated_sends_total", "Sends beyond the first one of a request, by service.", "service", "kind"),
 		refusals:      counter("upstream_refusals_total", "Upstreams' responses that a request has not run, by service and whether they name the request.", "service", "identified"),
 		skipped:       counter("skipped_responses_total", "Responses to other requests on upstreams' connections, by service.", "service"),
+		statements:    counter("upstream_statements_total", "Statements about later requests in upstreams' answers, by kind.", "kind"),
 		engineOrders:  counter("engine_orders_total", "Orders to engines by kind and result.", "kind", "result"),
 		engineReports: counter("engine_reports_total", "Questions to engines for their report, by result.", "result"),
 		kvCalls:       counter("gateway_kv_calls_total", "Calls to the key-value service by kind and result.", "kind", "result"),
@@ -48,7 +50,7 @@
 			Namespace: namespace, Name: "routing_version", Help: "Configuration version in force.",
 		}),
 	}
-	registerer.MustRegister(g.requests, g.duration, g.firstEvent, g.loadWait, g.repeatedSends, g.refusals, g.skipped, g.engineOrders, g.engineReports, g.kvCalls, g.meshBytes, g.checkpoints, g.version, g.storeEra)
+	registerer.MustRegister(g.requests, g.duration, g.firstEvent, g.loadWait, g.repeatedSends, g.refusals, g.skipped, g.statements, g.engineOrders, g.engineReports, g.kvCalls, g.meshBytes, g.checkpoints, g.version, g.storeEra)
 	return g
 }
 
@@ -84,6 +86,11 @@
 	g.skipped.WithLabelValues(service).Add(float64(n))
 }
 
+// Statement counts a statement about later requests in an upstream's answer.
+func (g *Gateway) Statement(kind string) {
+	g.statements.WithLabelValues(kind).Inc()
+}
+
 // EngineOrder counts an order to an engine.
 func (g *Gateway) EngineOrder(kind, result string) {
 	g.engineOrders.WithLabelValues(kind, result).Inc()
--- a/internal/orders/pool.go
+++ b/internal/orders/pool.go
@@ -177,6 +177,14 @@
 	}
 }
 
+// Pause makes an engine get no orders and no requests for reports until a reading
+// of clock.Boot. Requests that wait for admission there are declined.
+func (p *Pool) Pause(engine string, until time.Duration) {
+	if w := p.worker(engine); w != nil {
+		w.pause(until)
+	}
+}
+
 // RecordUse records an entry's use of an engine.
 func (p *Pool) RecordUse(entry, engine string, running int, uses []residency.AdapterUse) {
 	if w := p.worker(engine); w != nil {
--- a/internal/orders/worker.go
+++ b/internal/orders/worker.go
@@ -58,6 +58,8 @@
 	// engine, and retryAt the earliest time of the next one.
 	unreachableCalls int
 	retryAt          time.Duration
+	// pausedUntil is the end of the pause that the engine asked this VM for.
+	pausedUntil time.Duration
 	// lastUsedAt maps entries to their last use of the engine.
 	lastUsedAt map[string]time.Duration
 }
@@ -100,6 +102,7 @@
 	w.mu.Lock()
 	if a.Engine.Incarnation > w.engine.Incarnation() {
 		w.log.Info("engine restarted, its state is reset", "born", a.Engine.Incarnation)
+		w.pausedUntil = 0
 		w.engine.Reset(a.Engine.Incarnation)
 	}
 	if a.Engine.Incarnation >= w.upstream.Incarnation {
@@ -110,6 +113,14 @@
 	w.signal()
 }
 
+// pause ends the pause that the engine asks for no earlier than until.
+func (w *worker) pause(until time.Duration) {
+	w.mu.Lock()
+	w.pausedUntil = max(w.pausedUntil, until)
+	w.mu.Unlock()
+	w.signal()
+}
+
 // requestAdmission returns a request's status and the number of requests that
 // wait for the engine's batch.
 func (w *worker) requestAdmission(now time.Duration, request admission.Request) (residency.Status, int) {
@@ -175,7 +186,7 @@
 // has no name. While this daemon may not send orders, only adapters that the
 // engine already holds can be used. The caller holds mu.
 func (w *worker) status(adapter topology.Adapter, version int64) residency.Status {
-	if w.upstream.Leaving {
+	if w.upstream.Leaving || clock.Boot() < w.pausedUntil {
 		return residency.Declined
 	}
 	if w.unreachableCalls >= unreachableAfterCalls {
@@ -297,7 +308,7 @@
 			w.mu.Unlock()
 			return min(mayOrderCheckInterval, admissionDelay)
 		}
-		if pause := w.retryAt - now; pause > 0 {
+		if pause := max(w.retryAt, w.pausedUntil) - now; pause > 0 {
 			w.mu.Unlock()
 			return min(pause, admissionDelay)
 		}
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -43,6 +43,8 @@
 	admissionEngine string
 	admissionTicket uint64
 	admissionOver   bool
+	// waitedForPause is set once the request has waited for the end of a pause.
+	waitedForPause bool
 	// declines counts the engines that could not accept the request.
 	declines int
 	// admissionWait is the time spent waiting for adapter loads and admissions.
--- a/internal/relay/model.go
+++ b/internal/relay/model.go
@@ -12,7 +12,6 @@
 	"github.com/barleylift/barleylift/internal/routing"
 	"github.com/barleylift/barleylift/internal/steer"
 	"github.com/barleylift/barleylift/internal/topology"
-	"github.com/cespare/xxhash/v2"
 )
 
 // Limits of model requests.
@@ -60,8 +59,11 @@
 			return
 		}
 		choice, ok := e.pickEngine()
+		if (!ok || choice.NeedsLoad) && e.awaitPauseEnd(ok) {
+			continue
+		}
 		if !ok {
-			e.giveUp(http.StatusBadGateway, retryAfterBusy, "no engine can take the request")
+			e.giveUpForNow("no engine can take the request")
 			return
 		}
 		if choice.SpreadTo != "" {
@@ -81,15 +83,16 @@
 // pickEngine selects an engine. Once all engines were tried, it waits and
 // considers all of them again.
 func (e *exchange) pickEngine() (steer.Choice, bool) {
-	engines := e.relay.config.Locator.Engines(e.service.Name, e.call.Adapter, e.tried)
+	random := e.random()
+	engines := e.relay.config.Locator.Engines(e.service.Name, e.call.Adapter, e.tried, random)
 	if len(engines) == 0 && len(e.tried) > 0 {
 		if !clock.Sleep(e.ctx, declinedBackoff) {
 			return steer.Choice{}, false
 		}
 		e.tried = nil
-		engines = e.relay.config.Locator.Engines(e.service.Name, e.call.Adapter, nil)
+		engines = e.relay.config.Locator.Engines(e.service.Name, e.call.Adapter, nil, random)
 	}
-	return steer.PickEngine(e.call.Adapter, engines, xxhash.Sum64String(e.call.ID))
+	return steer.PickEngine(e.call.Adapter, engines, random)
 }
 
 // awaitAdmission waits until the request is admitted at the selected engine,
--- /dev/null
+++ b/internal/relay/pause.go
@@ -0,0 +1,38 @@
+package relay
+
+import (
+	"net/http"
+
+	"github.com/barleylift/barleylift/internal/clock"
+	"github.com/barleylift/barleylift/internal/pausing"
+	"github.com/cespare/xxhash/v2"
+)
+
+// random returns a number of the request that is the same for each choice.
+func (e *exchange) random() uint64 {
+	return xxhash.Sum64String(e.call.ID)
+}
+
+// awaitPauseEnd waits, at most once a request, for an upstream that pauses if it
+// takes the request within pausing.MaxWait. If others would take the request after
+// they have loaded its adapter, only the end of a holder's pause is worth a wait. It
+// returns false if it did not wait.
+func (e *exchange) awaitPauseEnd(othersCanLoad bool) bool {
+	wait, _, ok := e.relay.config.Locator.PauseEnd(e.service.Name, e.call.Adapter, othersCanLoad, e.random())
+	if !ok || e.waitedForPause || wait > pausing.MaxWait || wait >= e.timeLeft() || !e.mayRunAgain() {
+		return false
+	}
+	e.waitedForPause = true
+	e.tried = nil
+	return clock.Sleep(e.ctx, wait)
+}
+
+// giveUpForNow ends a request that no upstream takes now. If some pause, its caller
+// is told to come back when they take all requests.
+func (e *exchange) giveUpForNow(reason string) {
+	retryAfter := retryAfterBusy
+	if _, returnAfter, ok := e.relay.config.Locator.PauseEnd(e.service.Name, e.call.Adapter, false, e.random()); ok {
+		retryAfter, reason = max(returnAfter, retryAfterBusy), "the upstreams have asked for a pause"
+	}
+	e.giveUp(http.StatusBadGateway, retryAfter, reason)
+}
--- a/internal/relay/plain.go
+++ b/internal/relay/plain.go
@@ -31,11 +31,14 @@
 func (e *exchange) servePlain() {
 	rounds := 0
 	for !e.endIfExpired() {
-		replicas := e.relay.config.Locator.Replicas(e.service.Name, e.tried)
+		replicas := e.relay.config.Locator.Replicas(e.service.Name, e.tried, e.random())
 		id, ok := steer.PickReplica(replicas)
+		if !ok && e.awaitPauseEnd(false) {
+			continue
+		}
 		if !ok {
 			if rounds > 0 || len(e.tried) == 0 || e.possibleRuns > 0 {
-				e.giveUp(http.StatusBadGateway, retryAfterBusy, "no replica can take the request")
+				e.giveUpForNow("no replica can take the request")
 				return
 			}
 			rounds++
--- a/internal/topology/statement.go
+++ b/internal/topology/statement.go
@@ -1,10 +1,14 @@
 package topology
 
+import "time"
+
 // Statement is what an upstream's answer says about later requests, whatever the
 // answer is to.
 type Statement struct {
 	// Leaving is set if the process is about to end and wants no new requests.
 	Leaving bool
+	// Pause is how long the process wants nothing from this VM; 0 if not stated.
+	Pause time.Duration
 	// Invalid describes a value that could not be decoded and is ignored; empty if
 	// there is none.
 	Invalid string
