--- a/internal/locator/pause.go
+++ b/internal/locator/pause.go
@@ -41,19 +41,31 @@
 // PauseEnd returns how long it takes until an upstream of a service that pauses
 // takes a request, and after which time the request's caller should come back if
 // it is refused. Only upstreams that hold the adapter count if needHeld is set. It
-// returns false if no such upstream pauses.
+// returns false unless all of them pause.
 func (l *Locator) PauseEnd(service string, adapter topology.Adapter, needHeld bool, random uint64) (wait, returnAfter time.Duration, ok bool) {
 	now := clock.Boot()
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, v := range l.services[service] {
-		_, held := v.held[adapter]
-		if v.upstream.Leaving || needHeld && !held || v.pause.Takes(now, random) {
+		if !v.mayServe(adapter, needHeld) {
 			continue
 		}
+		if v.pause.Takes(now, random) {
+			return 0, 0, false
+		}
 		if takesIn := v.pause.TakesAt(random) - now; !ok || takesIn < wait {
 			wait, returnAfter, ok = takesIn, v.pause.ReturnAt(random)-now, true
 		}
 	}
 	return wait, returnAfter, ok
 }
+
+// mayServe reports whether an upstream that does not pause could take requests for
+// an adapter, or for a plain service if there is none.
+func (v *view) mayServe(adapter topology.Adapter, needHeld bool) bool {
+	if v.upstream.Leaving || adapter.Model != "" && !v.holdsModel(adapter.Model) {
+		return false
+	}
+	_, held := v.held[adapter]
+	return held || !needHeld
+}
--- a/internal/locator/pause_test.go
+++ b/internal/locator/pause_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 	"time"
+
+	"github.com/barleylift/barleylift/internal/topology"
 )
 
 // A pause holds for one process of an upstream: neither for a later one with the
@@ -42,3 +44,27 @@
 		t.Error("the end of the pause of an upstream that leaves is offered to callers")
 	}
 }
+
+// Callers are sent away until the end of a pause only if all upstreams pause.
+func TestPauseEnd(t *testing.T) {
+	o := newOwner(t)
+	for _, id := range []string{"a", "b"} {
+		o.locator.SetUpstream(engine(id, nil))
+	}
+	o.locator.SetUpstream(engine("cold", func(u *topology.Upstream) { u.Models[0].Adapters = nil }))
+	o.locator.RecordPause("a", 1, 2*time.Second)
+	if _, _, ok := o.locator.PauseEnd("lm", climb, true, 0); ok {
+		t.Error("one of two holders pauses: the end of its pause is awaited")
+	}
+	o.locator.RecordPause("b", 1, time.Second)
+	if wait, _, ok := o.locator.PauseEnd("lm", climb, true, 0); !ok || wait > time.Second {
+		t.Errorf("both holders pause: got %v, %t, want the end of the shorter pause", wait, ok)
+	}
+	if _, _, ok := o.locator.PauseEnd("lm", climb, false, 0); ok {
+		t.Error("an engine without the adapter does not pause: the end of the holders' pauses is awaited")
+	}
+	o.locator.RecordPause("cold", 1, time.Minute)
+	if _, returnAfter, ok := o.locator.PauseEnd("lm", climb, false, 1<<63); !ok || returnAfter > 3*time.Second {
+		t.Errorf("all engines pause: callers come back after %v, %t", returnAfter, ok)
+	}
+}
