--- a/internal/gateway/platform.go
+++ b/internal/gateway/platform.go
@@ -37,8 +37,9 @@
 }
 
 // StatementObserver records what an upstream's answer says about later requests.
-// answer names the answer in the log.
-type StatementObserver func(upstream topology.Upstream, statement topology.Statement, answer string)
+// sentAt is when the request was sent, by clock.Boot. It is 0 for answers that need
+// not name a rate limit. answer names the answer in the log.
+type StatementObserver func(upstream topology.Upstream, statement topology.Statement, sentAt time.Duration, answer string)
 
 // ControlPools provides the connections for orders and reports.
 type ControlPools interface {
--- a/internal/gateway/servers.go
+++ b/internal/gateway/servers.go
@@ -108,6 +108,9 @@
 	Members       []string `json:"members"`
 	// Leaving lists the upstreams that have said in an answer that they leave.
 	Leaving []string `json:"leaving"`
+	// RateLimits lists the requests a second that upstreams take from all VMs
+	// together, as far as this daemon knows.
+	RateLimits map[string]float64 `json:"rate_limits"`
 }
 
 func (g *Gateway) serveStatus(w http.ResponseWriter, _ *http.Request) {
@@ -120,6 +123,7 @@
 		InFlight:      g.relay.InFlight(),
 		Engines:       g.keeper.OwnedEngines(),
 		Leaving:       g.leavingByStatement(),
+		RateLimits:    g.locator.RateLimits(),
 	}
 	if table := g.relay.Table(); table != nil {
 		message.Version = table.Version()
--- a/internal/gateway/statements.go
+++ b/internal/gateway/statements.go
@@ -6,6 +6,7 @@
 
 	"github.com/barleylift/barleylift/internal/clock"
 	"github.com/barleylift/barleylift/internal/mesh"
+	"github.com/barleylift/barleylift/internal/ratelimit"
 	"github.com/barleylift/barleylift/internal/topology"
 )
 
@@ -35,7 +36,7 @@
 // requests. Requests that run there go on; those that wait for admission there
 // are declined by the engine's owner or, once this daemon turns to the engine,
 // go elsewhere.
-func (g *Gateway) observeStatement(upstream topology.Upstream, statement topology.Statement, answer string) {
+func (g *Gateway) observeStatement(upstream topology.Upstream, statement topology.Statement, sentAt time.Duration, answer string) {
 	if statement.Invalid != "" {
 		g.options.Meters.Statement("invalid")
 		g.log.Warn("invalid statement of an upstream ignored", "upstream", upstream.ID, "answer", answer, "value", statement.Invalid)
@@ -46,6 +47,24 @@
 	if statement.Pause > 0 {
 		g.startPause(upstream, statement.Pause, answer)
 	}
+	if statement.HasRateLimit || statement.Invalid == "" {
+		g.recordRateLimit(upstream, statement, sentAt, answer)
+	}
+}
+
+// recordRateLimit records an answer with or without a rate limit.
+func (g *Gateway) recordRateLimit(upstream topology.Upstream, statement topology.Statement, sentAt time.Duration, answer string) {
+	said := ratelimit.Knowledge{Rate: statement.RateLimit, Limited: statement.HasRateLimit, SentAt: sentAt, ReceivedAt: clock.Boot()}
+	if !g.locator.RecordRateLimit(upstream.ID, upstream.Incarnation, said) {
+		return
+	}
+	if !said.Limited {
+		g.options.Meters.Statement("rate limit ended")
+		g.log.Info("upstream names no rate limit any more", "upstream", upstream.ID, "answer", answer)
+		return
+	}
+	g.options.Meters.Statement("rate limit")
+	g.log.Info("upstream names a rate limit", "upstream", upstream.ID, "answer", answer, "requests_per_second", said.Rate)
 }
 
 // startPause sends nothing to an upstream for a time: no request, and no order or
--- a/internal/locator/view.go
+++ b/internal/locator/view.go
@@ -5,6 +5,7 @@
 
 	"github.com/barleylift/barleylift/internal/orders"
 	"github.com/barleylift/barleylift/internal/pausing"
+	"github.com/barleylift/barleylift/internal/ratelimit"
 	"github.com/barleylift/barleylift/internal/residency"
 	"github.com/barleylift/barleylift/internal/topology"
 )
@@ -53,9 +54,11 @@
 	// admission.
 	unownedUntil time.Duration
 	// pause is the pause that the upstream asked this VM for.
-	pause    pausing.Pause
-	failures decayingCount
-	latency  time.Duration
+	pause pausing.Pause
+	// rateLimit is what the upstream's answers have said about its rate limit.
+	rateLimit ratelimit.Knowledge
+	failures  decayingCount
+	latency   time.Duration
 }
 
 // use is an adapter's use since the last heartbeat to the owner.
@@ -99,6 +102,7 @@
 	if restarted {
 		v.hasState = false
 		v.pause = pausing.Pause{}
+		v.rateLimit = ratelimit.Knowledge{}
 	}
 	if restarted || !v.hasState || now-v.stateReceivedAt > stateTTL {
 		v.setHeldFromRegistration()
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -227,6 +227,7 @@
 		Header: protocol.RequestHeader(e.call, params),
 		Body:   e.body,
 	}
+	sentAt := clock.Boot()
 	response, err := e.relay.config.Pools.RequestPool(upstream).Send(ctx, request, hop.Options{
 		MaxIdle: maxIdle,
 		Avoid:   e.carriers,
@@ -248,16 +249,19 @@
 	result := sendResult{
 		response: response, head: head, written: true, conn: response.Conn(), reused: response.Reused(), skipped: response.Skipped,
 	}
-	if !head.Misdirected || head.UpstreamID == upstream.ID {
-		e.relay.config.Observe(upstream, head.Statement, "request "+e.call.ID)
+	if !head.NotRun && !head.Misdirected {
+		result.mayHaveRun = true
+		result.err = e.checkHead(head, response.StatusCode)
 	}
-	if head.NotRun || head.Misdirected {
-		return result
+	if !head.Misdirected || head.UpstreamID == upstream.ID {
+		if result.err != nil {
+			sentAt = 0
+		}
+		e.relay.config.Observe(upstream, head.Statement, sentAt, "request "+e.call.ID)
 	}
-	result.mayHaveRun = true
-	if err := e.checkHead(head, response.StatusCode); err != nil {
+	if result.err != nil {
 		response.Discard()
-		result.response, result.err = nil, err
+		result.response = nil
 	}
 	return result
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -43,9 +43,10 @@
 	// Budget returns the retry budget of a service.
 	Budget  func(service string) *limit.RetryBudget
 	Metrics Metrics
-	// Observe records what an upstream's answer says about later requests. answer
-	// names the answer in the log.
-	Observe func(upstream topology.Upstream, statement topology.Statement, answer string)
+	// Observe records what an upstream's answer says about later requests. sentAt is
+	// when the request was sent, by clock.Boot, or 0 if the answer may not be the
+	// upstream's own. answer names the answer in the log.
+	Observe func(upstream topology.Upstream, statement topology.Statement, sentAt time.Duration, answer string)
 	Log     *slog.Logger
 }
 
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -58,7 +58,7 @@
 		Protocol: minimalProtocol{}, Locator: engines, Pools: &testPools{}, Log: log,
 		Budget:  func(string) *limit.RetryBudget { return budget },
 		Metrics: metrics.NewGateway(prometheus.NewRegistry()),
-		Observe: func(topology.Upstream, topology.Statement, string) {},
+		Observe: func(topology.Upstream, topology.Statement, time.Duration, string) {},
 	})
 	if err != nil {
 		t.Fatal(err)
--- a/internal/topology/statement.go
+++ b/internal/topology/statement.go
@@ -9,6 +9,10 @@
 	Leaving bool
 	// Pause is how long the process wants nothing from this VM; 0 if not stated.
 	Pause time.Duration
+	// RateLimit is the number of requests a second that the process takes from all
+	// VMs together, if HasRateLimit is set.
+	RateLimit    float64
+	HasRateLimit bool
 	// Invalid describes a value that could not be decoded and is ignored; empty if
 	// there is none.
 	Invalid string
