--- a/internal/knownred/knownred.go
+++ b/internal/knownred/knownred.go
@@ -10,13 +10,28 @@
 	"testing"
 )
 
-// listPath is the path of the list as seen from a package two levels below the root.
-const listPath = "../../KNOWN-RED.txt"
+// listName is the name of the list, which is at the root of the repository.
+const listName = "KNOWN-RED.txt"
+
+// maxDepth is the depth of the deepest package below the root.
+const maxDepth = 3
+
+// read returns the list, which it looks for from the package's folder upwards.
+func read() (content []byte, err error) {
+	path := listName
+	for range maxDepth + 1 {
+		if content, err = os.ReadFile(path); err == nil {
+			return content, nil
+		}
+		path = "../" + path
+	}
+	return nil, err
+}
 
 // Listed reports whether the list has a line whose first field is name.
 func Listed(t testing.TB, name string) bool {
 	t.Helper()
-	content, err := os.ReadFile(listPath)
+	content, err := read()
 	if errors.Is(err, fs.ErrNotExist) {
 		return false
 	}
