ratelimit, orders, locator, relay, gateway: an upstream that names a rate limit gets no more than that from all VMs together

Callers' requests exceeded the rate that an engine names, several times over.

Cause: no part of a daemon read the limit, and nothing bounds what several daemons send to one upstream together but the slots of its batch. The class is a bound of the whole fleet that each sender would have to keep alone.

One place now decides for each upstream. The owner of an engine admits the requests to it, at the rate that it names, urgent ones first; only while it may send orders, so that two daemons never admit the whole rate. The first member in the rendezvous order of a plain service's replica grants the turns there. A request without either isn't sent to an upstream with a limit: the check stands before the send, for first sends, resends and resumed streams. Requests whose turn comes too late are declined at once, go to another engine, or are refused with the time at which there is room. Adapters aren't loaded at engines with a limit while others can hold them.

--- a/internal/admission/gate.go
+++ b/internal/admission/gate.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -64,6 +65,9 @@
 	// request is no longer sent.
 	FirstEventDue time.Duration
 	Deadline      time.Duration
+	// TurnBy is until when the request waits for its turn at an engine with a rate
+	// limit.
+	TurnBy time.Duration
 }
 
 // waiter is a request that waits for admission.
@@ -244,6 +248,30 @@
 	return decisions
 }
 
+// HasWaiting reports whether requests wait for admission.
+func (g *Gate) HasWaiting() bool {
+	return len(g.waiting) > 0
+}
+
+// DeclineLate removes the requests whose turn comes too late, and returns them.
+// turnIn returns after which time a request with others ahead of it has its turn,
+// in the order of admissions.
+func (g *Gate) DeclineLate(now time.Duration, turnIn func(ahead int) time.Duration) []Decision {
+	isLate := func(w *waiter) bool { return g.isLate(now, w) }
+	queue := slices.SortedFunc(maps.Values(g.waiting), func(a, b *waiter) int { return compare(a, b, isLate, false) })
+	var declined []Decision
+	ahead := 0
+	for _, w := range queue {
+		if now+turnIn(ahead) <= w.TurnBy {
+			ahead++
+			continue
+		}
+		delete(g.waiting, w.Key)
+		declined = append(declined, Decision{Request: w.Request, Status: residency.NoRoom})
+	}
+	return declined
+}
+
 func (g *Gate) expire(now time.Duration) {
 	for key, w := range g.waiting {
 		if now-w.lastRequestedAt > requestExpiry || now >= w.Deadline {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -58,6 +58,7 @@
 	pools   *pools
 	budgets *budgets
 	peers   *peers
+	turns   *turns
 	// forwardLimiter limits the bytes that this daemon forwards as a watcher.
 	forwardLimiter *rate.Limiter
 
@@ -132,6 +133,7 @@
 		statedLeaving:      make(map[processKey]*leavingStatement),
 		reassign:           make(chan struct{}, 1),
 		peers:              newPeers(),
+		turns:              newTurns(),
 		forwardLimiter:     rate.NewLimiter(forwardRate, forwardBurst),
 	}
 	g.settings.Store(&s)
@@ -147,7 +149,7 @@
 	var err error
 	log := g.options.Log
 	meters := g.options.Meters
-	if g.locator, err = locator.New(locator.Config{Zone: s.Zone, Name: s.VM, SendRequest: g.sendRequest, SendProgress: g.sendProgress, Log: log}); err != nil {
+	if g.locator, err = locator.New(locator.Config{Zone: s.Zone, Name: s.VM, SendRequest: g.sendRequest, SendProgress: g.sendProgress, SendTurnRequest: g.sendTurnRequest, Log: log}); err != nil {
 		return err
 	}
 	if g.keeper, err = fleet.NewKeeper(fleet.KeeperConfig{
--- a/internal/gateway/notices.go
+++ b/internal/gateway/notices.go
@@ -246,12 +246,18 @@
 	case packet.Heartbeat != nil:
 		g.receiveHeartbeat(packet.From, packet.Incarnation, packet.Heartbeat)
 	case packet.AdmissionRequest != nil:
+		g.applyRateLimit(packet.AdmissionRequest.Engine, packet.AdmissionRequest.RateLimit)
 		g.handleRequest(packet.From, packet.AdmissionRequest.Engine, requestOf(packet.AdmissionRequest))
 	case packet.AdmissionStatus != nil:
 		status := packet.AdmissionStatus
 		g.locator.HandleStatus(orders.AdmissionStatus{
 			Engine: status.Engine, Ticket: status.Ticket, Status: residency.Status(status.Status), Waiting: status.Waiting,
+			RoomIn: time.Duration(status.RoomIn) * time.Millisecond,
 		})
+	case packet.TurnRequest != nil:
+		g.handleTurnRequest(turnRequestOf(packet.From, packet.TurnRequest))
+	case packet.TurnGrant != nil:
+		g.locator.HandleGrant(packet.TurnGrant.Upstream, packet.TurnGrant.Ticket, grantOf(packet.TurnGrant))
 	case len(packet.Changes) > 0:
 		changes := make([]mirror.Change, len(packet.Changes))
 		for i, message := range packet.Changes {
@@ -265,6 +271,7 @@
 		g.receiveCheckpoint(*packet.Checkpoint)
 	case packet.AdmissionProgress != nil:
 		progress := packet.AdmissionProgress
+		g.applyRateLimit(progress.Engine, progress.RateLimit)
 		g.orders.HandleProgress(progress.Engine, admission.Key{Entry: packet.From, Ticket: progress.Ticket}, orders.AdmissionProgress{Refused: progress.Refused, Ended: progress.Ended})
 	}
 }
@@ -296,10 +303,13 @@
 	}
 	self := g.keeper.Self()
 	if owner.Name == self.Name {
+		g.applyOwnRateLimit(engine)
 		g.handleRequest(self.Name, engine, request)
 		return true
 	}
-	g.mesh.Send(owner.Mesh, mesh.Packet{AdmissionRequest: requestMessage(engine, request)})
+	message := requestMessage(engine, request)
+	message.RateLimit = g.rateLimitMessage(engine)
+	g.mesh.Send(owner.Mesh, mesh.Packet{AdmissionRequest: message})
 	return true
 }
 
@@ -321,6 +331,7 @@
 		PauseObjective: request.PauseObjective,
 		FirstEventDue:  request.FirstEventDue,
 		Deadline:       request.Deadline,
+		TurnBy:         request.TurnBy,
 	}))
 }
 
@@ -333,10 +344,13 @@
 	}
 	self := g.keeper.Self()
 	if owner.Name == self.Name {
+		g.applyOwnRateLimit(engine)
 		g.orders.HandleProgress(engine, admission.Key{Entry: self.Name, Ticket: ticket}, progress)
 		return
 	}
-	g.mesh.Send(owner.Mesh, mesh.Packet{AdmissionProgress: &mesh.AdmissionProgress{Engine: engine, Ticket: ticket, Refused: progress.Refused, Ended: progress.Ended}})
+	g.mesh.Send(owner.Mesh, mesh.Packet{AdmissionProgress: &mesh.AdmissionProgress{
+		Engine: engine, Ticket: ticket, Refused: progress.Refused, Ended: progress.Ended, RateLimit: g.rateLimitMessage(engine),
+	}})
 }
 
 // sendAdapterReady tells an entry that has requested a load that the adapter is
@@ -363,7 +377,7 @@
 		return
 	}
 	g.mesh.Send(m.Mesh, mesh.Packet{AdmissionStatus: &mesh.AdmissionStatus{
-		Engine: status.Engine, Ticket: status.Ticket, Status: int(status.Status), Waiting: status.Waiting,
+		Engine: status.Engine, Ticket: status.Ticket, Status: int(status.Status), Waiting: status.Waiting, RoomIn: status.RoomIn.Milliseconds(),
 	}})
 }
 
@@ -375,6 +389,7 @@
 		Engine: engine, Ticket: request.Ticket, Model: request.Adapter.Model, Adapter: request.Adapter.Name, Version: request.Version,
 		PromptTokens: request.PromptTokens, Priority: request.Priority, PauseObjective: request.PauseObjective.Milliseconds(),
 		FirstEventDue: (request.FirstEventDue - now).Milliseconds(), Deadline: (request.Deadline - now).Milliseconds(),
+		TurnBy: (request.TurnBy - now).Milliseconds(),
 	}
 }
 
@@ -389,6 +404,7 @@
 		PauseObjective: time.Duration(message.PauseObjective) * time.Millisecond,
 		FirstEventDue:  now + time.Duration(message.FirstEventDue)*time.Millisecond,
 		Deadline:       now + time.Duration(message.Deadline)*time.Millisecond,
+		TurnBy:         now + time.Duration(message.TurnBy)*time.Millisecond,
 	}
 }
 
@@ -445,6 +461,9 @@
 	message := mesh.EngineState{
 		Engine: state.Engine, Incarnation: state.Incarnation, Running: state.Running, PendingLoads: state.PendingLoads, Waiting: state.Waiting,
 	}
+	if state.RateLimit.Limited {
+		message.RateLimit = rateLimitMessageOf(state.Incarnation, state.RateLimit)
+	}
 	for _, held := range state.Held {
 		message.Held = append(message.Held, mesh.HeldAdapter{Model: held.Adapter.Model, Adapter: held.Adapter.Name, Version: held.Version})
 	}
@@ -455,6 +474,9 @@
 	state := orders.EngineState{
 		Engine: message.Engine, Incarnation: message.Incarnation, Running: message.Running, PendingLoads: message.PendingLoads, Waiting: message.Waiting,
 	}
+	if message.RateLimit != nil {
+		state.RateLimit = rateLimitOf(message.RateLimit)
+	}
 	for _, held := range message.Held {
 		state.Held = append(state.Held, residency.HeldAdapter{
 			Adapter: topology.Adapter{Model: held.Model, Name: held.Adapter}, Version: held.Version,
--- a/internal/locator/locator.go
+++ b/internal/locator/locator.go
@@ -10,6 +10,7 @@
 
 	"github.com/barleylift/barleylift/internal/clock"
 	"github.com/barleylift/barleylift/internal/orders"
+	"github.com/barleylift/barleylift/internal/ratelimit"
 	"github.com/barleylift/barleylift/internal/residency"
 	"github.com/barleylift/barleylift/internal/steer"
 	"github.com/barleylift/barleylift/internal/topology"
@@ -28,7 +29,11 @@
 	// SendProgress reports the progress of an admitted request to the owner of
 	// its engine.
 	SendProgress func(engine string, ticket uint64, progress orders.AdmissionProgress)
-	Log          *slog.Logger
+	// SendTurnRequest sends a request for the turn of a request to an upstream
+	// without an owner. It returns false if no daemon decides on that. The answer
+	// arrives by HandleGrant, possibly during the call.
+	SendTurnRequest func(request ratelimit.Request) bool
+	Log             *slog.Logger
 }
 
 // Locator is an entry's view of the upstreams. It is safe for concurrent use.
@@ -42,6 +47,8 @@
 	services map[string]map[string]*view
 	versions map[topology.Adapter]versions
 	waits    map[waitKey]*wait
+	// turns holds the requests that wait for the answer to a SendTurnRequest.
+	turns map[waitKey]chan ratelimit.Grant
 	// admitted holds the admitted requests whose progress has not been reported.
 	admitted   map[waitKey]bool
 	lastTicket uint64
@@ -49,8 +56,8 @@
 
 // New returns a Locator without upstreams.
 func New(config Config) (*Locator, error) {
-	if config.SendRequest == nil || config.SendProgress == nil || config.Log == nil {
-		return nil, errors.New("locator: SendRequest, SendProgress and Log are required")
+	if config.SendRequest == nil || config.SendProgress == nil || config.SendTurnRequest == nil || config.Log == nil {
+		return nil, errors.New("locator: SendRequest, SendProgress, SendTurnRequest and Log are required")
 	}
 	return &Locator{
 		config:     config,
@@ -59,6 +66,7 @@
 		services:   make(map[string]map[string]*view),
 		versions:   make(map[topology.Adapter]versions),
 		waits:      make(map[waitKey]*wait),
+		turns:      make(map[waitKey]chan ratelimit.Grant),
 		admitted:   make(map[waitKey]bool),
 		lastTicket: rand.Uint64(),
 	}, nil
@@ -101,13 +109,14 @@
 	delete(l.services[v.upstream.Service], id)
 }
 
-// Upstream returns the registration of an upstream, unless it is leaving or
-// pauses.
-func (l *Locator) Upstream(id string) (topology.Upstream, bool) {
+// Upstream returns the registration of an upstream to which a request is about to
+// be sent, unless it is leaving, pauses, or has a rate limit and the request was not
+// granted a turn.
+func (l *Locator) Upstream(id string, granted bool) (topology.Upstream, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	v := l.views[id]
-	if v == nil || v.upstream.Leaving || v.pause.Active(clock.Boot()) {
+	if v == nil || v.upstream.Leaving || v.pause.Active(clock.Boot()) || v.rateLimit.Limited && !granted {
 		return topology.Upstream{}, false
 	}
 	return v.upstream, true
@@ -123,8 +132,8 @@
 }
 
 // Engines returns the engines of a service for a request for an adapter, without
-// those that are leaving, pause, lack the base model or were tried before. random
-// is a number of the request.
+// those that are leaving, pause, have no room within their rate limit, lack the base
+// model or were tried before. random is a number of the request.
 func (l *Locator) Engines(service string, adapter topology.Adapter, tried []string, random uint64) []steer.Engine {
 	now := clock.Boot()
 	l.mu.Lock()
@@ -132,7 +141,7 @@
 	needed, allowed := l.versions[adapter].at(now)
 	engines := make([]steer.Engine, 0, len(l.services[service]))
 	for id, v := range l.services[service] {
-		if v.upstream.Leaving || slices.Contains(tried, id) || !v.holdsModel(adapter.Model) || !v.pause.Takes(now, random) {
+		if v.upstream.Leaving || slices.Contains(tried, id) || !v.holdsModel(adapter.Model) || now < v.takesAt(random) {
 			continue
 		}
 		version, held := v.held[adapter]
@@ -143,7 +152,7 @@
 			Holds:            held && version >= needed,
 			HoldsUsableOlder: held && version < needed && version >= allowed,
 			HoldsOlder:       held && version < needed,
-			LoadsPaused:      now < v.loadsPausedUntil,
+			LoadsPaused:      now < v.loadsPausedUntil || v.rateLimit.Limited,
 			PendingLoads:     v.state.PendingLoads,
 			Queued:           v.estimateWaiting(now),
 			Suspect:          v.failures.get(now) >= suspectThreshold,
@@ -153,14 +162,15 @@
 }
 
 // Replicas returns the replicas of a plain service, without those that are
-// leaving, pause or were tried before. random is a number of the request.
+// leaving, pause, have no room within their rate limit or were tried before. random
+// is a number of the request.
 func (l *Locator) Replicas(service string, tried []string, random uint64) []steer.Replica {
 	now := clock.Boot()
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	replicas := make([]steer.Replica, 0, len(l.services[service]))
 	for id, v := range l.services[service] {
-		if v.upstream.Leaving || slices.Contains(tried, id) || !v.pause.Takes(now, random) {
+		if v.upstream.Leaving || slices.Contains(tried, id) || now < v.takesAt(random) {
 			continue
 		}
 		failures := v.failures.get(now)
--- a/internal/locator/locator_test.go
+++ b/internal/locator/locator_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/barleylift/barleylift/internal/orders"
+	"github.com/barleylift/barleylift/internal/ratelimit"
 	"github.com/barleylift/barleylift/internal/residency"
 	"github.com/barleylift/barleylift/internal/topology"
 )
@@ -26,9 +27,10 @@
 	o := &owner{released: make(chan uint64, 8), answer: func(string, AdmissionRequest) bool { return false }}
 	l, err := New(Config{
 		Zone: "z", Name: "vm",
-		SendRequest:  func(engine string, request AdmissionRequest) bool { return o.answer(engine, request) },
-		SendProgress: func(_ string, ticket uint64, _ orders.AdmissionProgress) { o.released <- ticket },
-		Log:          slog.New(slog.NewTextHandler(io.Discard, nil)),
+		SendRequest:     func(engine string, request AdmissionRequest) bool { return o.answer(engine, request) },
+		SendProgress:    func(_ string, ticket uint64, _ orders.AdmissionProgress) { o.released <- ticket },
+		SendTurnRequest: func(ratelimit.Request) bool { return false },
+		Log:             slog.New(slog.NewTextHandler(io.Discard, nil)),
 	})
 	if err != nil {
 		t.Fatal(err)
@@ -72,7 +74,7 @@
 				t.Error("an unusable engine is returned")
 			}
 			if test.name == "leaving" {
-				if _, ok := o.locator.Upstream("e"); ok {
+				if _, ok := o.locator.Upstream("e", false); ok {
 					t.Error("a leaving engine may still get requests")
 				}
 			}
--- a/internal/locator/pause.go
+++ b/internal/locator/pause.go
@@ -38,11 +38,11 @@
 	return ids
 }
 
-// PauseEnd returns how long it takes until an upstream of a service that pauses
-// takes a request, and after which time the request's caller should come back if
-// it is refused. Only upstreams that hold the adapter count if needHeld is set. It
-// returns false unless all of them pause.
-func (l *Locator) PauseEnd(service string, adapter topology.Adapter, needHeld bool, random uint64) (wait, returnAfter time.Duration, ok bool) {
+// NextTurn returns how long it takes until an upstream of a service takes a
+// request, and after which time the request's caller should come back if it is
+// refused. Only upstreams that hold the adapter count if needHeld is set. It returns
+// false unless all of them pause or have no room within their rate limits.
+func (l *Locator) NextTurn(service string, adapter topology.Adapter, needHeld bool, random uint64) (wait, returnAfter time.Duration, ok bool) {
 	now := clock.Boot()
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -50,16 +50,31 @@
 		if !v.mayServe(adapter, needHeld) {
 			continue
 		}
-		if v.pause.Takes(now, random) {
+		takesIn := v.takesAt(random) - now
+		if takesIn <= 0 {
 			return 0, 0, false
 		}
-		if takesIn := v.pause.TakesAt(random) - now; !ok || takesIn < wait {
-			wait, returnAfter, ok = takesIn, v.pause.ReturnAt(random)-now, true
+		if !ok || takesIn < wait {
+			wait, returnAfter, ok = takesIn, v.returnAfter(now, random), true
 		}
 	}
 	return wait, returnAfter, ok
 }
 
+// takesAt returns from when on the upstream takes a request.
+func (v *view) takesAt(random uint64) time.Duration {
+	return max(v.pause.TakesAt(random), v.roomAt)
+}
+
+// returnAfter returns when the caller of a refused request should come back.
+func (v *view) returnAfter(now time.Duration, random uint64) time.Duration {
+	after := v.pause.ReturnAt(random) - now
+	if v.roomAt > now {
+		after = max(after, v.rateLimit.ReturnAfter(v.roomAt-now, random))
+	}
+	return after
+}
+
 // mayServe reports whether an upstream that does not pause could take requests for
 // an adapter, or for a plain service if there is none.
 func (v *view) mayServe(adapter topology.Adapter, needHeld bool) bool {
--- a/internal/locator/view.go
+++ b/internal/locator/view.go
@@ -57,8 +57,12 @@
 	pause pausing.Pause
 	// rateLimit is what the upstream's answers have said about its rate limit.
 	rateLimit ratelimit.Knowledge
-	failures  decayingCount
-	latency   time.Duration
+	// limitEndedAt is when a rate limit ended; 0 if none has.
+	limitEndedAt time.Duration
+	// roomAt is when the upstream's rate limit leaves room for another request.
+	roomAt   time.Duration
+	failures decayingCount
+	latency  time.Duration
 }
 
 // use is an adapter's use since the last heartbeat to the owner.
@@ -102,7 +106,7 @@
 	if restarted {
 		v.hasState = false
 		v.pause = pausing.Pause{}
-		v.rateLimit = ratelimit.Knowledge{}
+		v.rateLimit, v.limitEndedAt, v.roomAt = ratelimit.Knowledge{}, 0, 0
 	}
 	if restarted || !v.hasState || now-v.stateReceivedAt > stateTTL {
 		v.setHeldFromRegistration()
@@ -115,6 +119,7 @@
 	if state.Incarnation != v.upstream.Incarnation {
 		return
 	}
+	v.recordRateLimit(now, state.RateLimit)
 	v.state = state
 	v.stateReceivedAt = now
 	v.hasState = true
--- a/internal/locator/wait.go
+++ b/internal/locator/wait.go
@@ -38,6 +38,9 @@
 	// NeedsLoad is set if the adapter must be loaded first. The request then does
 	// not count as waiting for the engine's batch.
 	NeedsLoad bool
+	// TurnBy is until when the request waits for its turn at an engine with a rate
+	// limit, as a reading of clock.Boot.
+	TurnBy time.Duration
 }
 
 // Admission is the outcome of an AdmissionRequest.
@@ -53,11 +56,13 @@
 	Unowned
 	// WaitEnded: the context ended before the owner decided.
 	WaitEnded
+	// NoRoom: the engine's rate limit leaves no room for the request in time.
+	NoRoom
 )
 
 // String returns the name of the outcome in logs.
 func (a Admission) String() string {
-	return [...]string{"begin", "declined", "unowned", "over"}[a]
+	return [...]string{"begin", "declined", "unowned", "over", "no room"}[a]
 }
 
 // wait is a request that waits for admission.
@@ -134,6 +139,9 @@
 		}
 		return Admitted
 	}
+	if status == residency.NoRoom {
+		return NoRoom
+	}
 	if v != nil {
 		delete(v.held, request.Adapter)
 		v.loadsPausedUntil = clock.Boot() + declinedPause
@@ -235,6 +243,9 @@
 	if v := l.views[status.Engine]; v != nil {
 		v.state.Waiting = status.Waiting
 		v.waitingAtState = v.waiting
+		if status.Status == residency.NoRoom {
+			v.roomAt = max(v.roomAt, clock.Boot()+max(status.RoomIn, minRoomIn))
+		}
 	}
 	w := l.waits[key]
 	if w != nil {
--- a/internal/mesh/packet.go
+++ b/internal/mesh/packet.go
@@ -20,6 +20,40 @@
 	Checkpoint *Checkpoint `cbor:"9,keyasint,omitempty"`
 	// AdapterReady answers a load request for an adapter that is ready.
 	AdapterReady *AdapterReady `cbor:"10,keyasint,omitempty"`
+	// TurnRequest and TurnGrant are about requests to upstreams with a rate limit
+	// that have no owner.
+	TurnRequest *TurnRequest `cbor:"11,keyasint,omitempty"`
+	TurnGrant   *TurnGrant   `cbor:"12,keyasint,omitempty"`
+}
+
+// RateLimit is what the sender knows of the rate limit of an upstream's process:
+// requests a second, if Limited is set. SentAge and ReceivedAge are the ages of the
+// request and of the answer that said so, in milliseconds.
+type RateLimit struct {
+	_           struct{} `cbor:",toarray"`
+	Incarnation int64
+	Rate        float64
+	Limited     bool
+	SentAge     int64
+	ReceivedAge int64
+}
+
+// TurnRequest asks for the turn of one request to an upstream. MaxWait is how long
+// the request can wait, in milliseconds.
+type TurnRequest struct {
+	Upstream  string     `cbor:"1,keyasint"`
+	Ticket    uint64     `cbor:"2,keyasint"`
+	RateLimit *RateLimit `cbor:"3,keyasint"`
+	MaxWait   int64      `cbor:"4,keyasint,omitempty"`
+}
+
+// TurnGrant answers a TurnRequest. The request may be sent after Wait, in
+// milliseconds, or if it is not granted, the upstream has room after Wait.
+type TurnGrant struct {
+	Upstream string `cbor:"1,keyasint"`
+	Ticket   uint64 `cbor:"2,keyasint"`
+	Granted  bool   `cbor:"3,keyasint,omitempty"`
+	Wait     int64  `cbor:"4,keyasint,omitempty"`
 }
 
 // AdapterReady says that an engine serves an adapter in the version or a newer
@@ -102,6 +136,7 @@
 	PendingLoads int           `cbor:"5,keyasint,omitempty"`
 	Held         []HeldAdapter `cbor:"6,keyasint,omitempty"`
 	Waiting      int           `cbor:"7,keyasint,omitempty"`
+	RateLimit    *RateLimit    `cbor:"8,keyasint,omitempty"`
 }
 
 // HeldAdapter is an adapter that serves requests.
@@ -114,7 +149,8 @@
 
 // AdmissionRequest asks the owner of an engine to admit a request, or without a
 // ticket only to load an adapter. FirstEventDue and Deadline are in milliseconds
-// from now, PauseObjective is in milliseconds. Priority 0 is the most urgent.
+// from now, PauseObjective is in milliseconds. Priority 0 is the most urgent. TurnBy
+// is how long the request waits at an engine with a rate limit, in milliseconds.
 type AdmissionRequest struct {
 	Engine         string `cbor:"1,keyasint"`
 	Ticket         uint64 `cbor:"2,keyasint,omitempty"`
@@ -126,6 +162,9 @@
 	PauseObjective int64  `cbor:"8,keyasint,omitempty"`
 	FirstEventDue  int64  `cbor:"9,keyasint,omitempty"`
 	Deadline       int64  `cbor:"10,keyasint,omitempty"`
+	TurnBy         int64  `cbor:"11,keyasint,omitempty"`
+
+	RateLimit *RateLimit `cbor:"12,keyasint,omitempty"`
 }
 
 // AdmissionStatus is the status of an admission request.
@@ -135,6 +174,9 @@
 	Status int    `cbor:"3,keyasint,omitempty"`
 	// Waiting is the number of requests that wait for room in the engine's batch.
 	Waiting int `cbor:"4,keyasint,omitempty"`
+	// RoomIn is when the engine's rate limit leaves room for another request, in
+	// milliseconds.
+	RoomIn int64 `cbor:"5,keyasint,omitempty"`
 }
 
 // AdmissionProgress reports on a request that was admitted.
@@ -145,7 +187,8 @@
 	// adapter that its owner expected it to hold.
 	Refused bool `cbor:"3,keyasint,omitempty"`
 	// Ended is set when the request itself has ended.
-	Ended bool `cbor:"4,keyasint,omitempty"`
+	Ended     bool       `cbor:"4,keyasint,omitempty"`
+	RateLimit *RateLimit `cbor:"5,keyasint,omitempty"`
 }
 
 // Change is a change of one key of the key-value service.
--- a/internal/orders/pool.go
+++ b/internal/orders/pool.go
@@ -10,6 +10,7 @@
 	"github.com/barleylift/barleylift/internal/admission"
 	"github.com/barleylift/barleylift/internal/clock"
 	"github.com/barleylift/barleylift/internal/fleet"
+	"github.com/barleylift/barleylift/internal/ratelimit"
 	"github.com/barleylift/barleylift/internal/residency"
 	"github.com/barleylift/barleylift/internal/topology"
 )
@@ -64,6 +65,9 @@
 	Status residency.Status
 	// Waiting is the number of requests that wait for room in the engine's batch.
 	Waiting int
+	// RoomIn is when the engine's rate limit leaves room for another request, if
+	// Status is residency.NoRoom.
+	RoomIn time.Duration
 }
 
 // Assignment is an engine that this daemon owns and sends orders to.
@@ -83,6 +87,8 @@
 	// Waiting is the number of requests that wait for room in the engine's batch.
 	Waiting int
 	Held    []residency.HeldAdapter
+	// RateLimit is what is known of the engine's rate limit.
+	RateLimit ratelimit.Knowledge
 	// RecentUsers lists the entries that have used the engine within recentUserTTL.
 	RecentUsers []string
 }
@@ -148,11 +154,19 @@
 func (p *Pool) RequestAdmission(engine string, request admission.Request) AdmissionStatus {
 	status := AdmissionStatus{Engine: engine, Ticket: request.Ticket, Status: residency.Declined}
 	if w := p.worker(engine); w != nil {
-		status.Status, status.Waiting = w.requestAdmission(clock.Boot(), request)
+		status = w.requestAdmission(clock.Boot(), request)
 	}
 	return status
 }
 
+// RecordRateLimit records what an entry knows of the rate limit of an engine's
+// process.
+func (p *Pool) RecordRateLimit(process ratelimit.Process, known ratelimit.Knowledge) {
+	if w := p.worker(process.ID); w != nil {
+		w.recordRateLimit(clock.Boot(), process.Incarnation, known)
+	}
+}
+
 // RequestLoad requests that an engine load an adapter for later requests. It
 // reports whether the adapter is ready there already.
 func (p *Pool) RequestLoad(engine string, adapter topology.Adapter, version int64) bool {
--- a/internal/orders/worker.go
+++ b/internal/orders/worker.go
@@ -10,6 +10,7 @@
 	"github.com/barleylift/barleylift/internal/admission"
 	"github.com/barleylift/barleylift/internal/clock"
 	"github.com/barleylift/barleylift/internal/fleet"
+	"github.com/barleylift/barleylift/internal/ratelimit"
 	"github.com/barleylift/barleylift/internal/residency"
 	"github.com/barleylift/barleylift/internal/topology"
 )
@@ -60,6 +61,8 @@
 	retryAt          time.Duration
 	// pausedUntil is the end of the pause that the engine asked this VM for.
 	pausedUntil time.Duration
+	// limiter keeps the admissions below the engine's rate limit.
+	limiter ratelimit.Limiter
 	// lastUsedAt maps entries to their last use of the engine.
 	lastUsedAt map[string]time.Duration
 }
@@ -103,6 +106,7 @@
 	if a.Engine.Incarnation > w.engine.Incarnation() {
 		w.log.Info("engine restarted, its state is reset", "born", a.Engine.Incarnation)
 		w.pausedUntil = 0
+		w.limiter = ratelimit.Limiter{}
 		w.engine.Reset(a.Engine.Incarnation)
 	}
 	if a.Engine.Incarnation >= w.upstream.Incarnation {
@@ -121,14 +125,60 @@
 	w.signal()
 }
 
-// requestAdmission returns a request's status and the number of requests that
-// wait for the engine's batch.
-func (w *worker) requestAdmission(now time.Duration, request admission.Request) (residency.Status, int) {
+// recordRateLimit records what is known of the rate limit of a process.
+func (w *worker) recordRateLimit(now time.Duration, incarnation int64, known ratelimit.Knowledge) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if incarnation == w.upstream.Incarnation {
+		w.limiter.Apply(now, known)
+	}
+}
+
+// requestAdmission returns the status of a request.
+func (w *worker) requestAdmission(now time.Duration, request admission.Request) AdmissionStatus {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.lastUsedAt[request.Key.Entry] = now
-	status := w.tryAdmit(now, request)
-	return status, w.gate.WaitingForBatch(w.status)
+	return w.statusMessage(now, request.Key.Ticket, w.tryAdmit(now, request))
+}
+
+// statusMessage returns the status of a request as its entry gets it. The caller
+// holds mu.
+func (w *worker) statusMessage(now time.Duration, ticket uint64, status residency.Status) AdmissionStatus {
+	message := AdmissionStatus{Engine: w.upstream.ID, Ticket: ticket, Status: status, Waiting: w.gate.WaitingForBatch(w.status)}
+	if status == residency.NoRoom {
+		message.RoomIn = w.turnIn(now, 0)
+	}
+	return message
+}
+
+// noGrantsRoomIn is when an entry should ask again for a request to an engine with
+// a rate limit, while this daemon may not admit any: another one may do so.
+const noGrantsRoomIn = 300 * time.Millisecond
+
+// turnIn returns after which time the engine's rate limit admits a request with
+// others ahead of it. The caller holds mu.
+func (w *worker) turnIn(now time.Duration, ahead int) time.Duration {
+	if !w.allowed {
+		return noGrantsRoomIn
+	}
+	return w.limiter.TurnIn(now, ahead)
+}
+
+// admissible returns how many requests the engine can run in addition, and its
+// rate limit allows. Only a daemon that may send orders admits requests to an
+// engine with a rate limit: of two daemons, each would admit the whole rate. The
+// caller holds mu.
+func (w *worker) admissible(now time.Duration) int {
+	free := w.upstream.Slots - w.engine.Running()
+	switch {
+	case !w.limiter.Limited():
+		return free
+	case !w.allowed:
+		return 0
+	default:
+		return min(free, w.limiter.Available(now))
+	}
 }
 
 // tryAdmit queues a request for admission, unless the engine can't take it,
@@ -147,11 +197,11 @@
 		w.signal()
 		return status
 	}
-	w.admitWaiting(now, request.Key)
-	if w.gate.Admitted(request.Key) {
-		return residency.Ready
+	own := w.admitWaiting(now, request.Key)
+	if own == residency.Waiting && w.limiter.Limited() {
+		w.signal() // its turn may come before the next step
 	}
-	return residency.Waiting
+	return own
 }
 
 // requestLoad requests a load, unless the adapter is ready, and reports whether
@@ -207,21 +257,28 @@
 }
 
 // admitWaiting decides on waiting requests and reports each decision to the
-// request's entry, except for the request with callerKey, whose status the
-// caller returns. The caller holds mu; reporting does no blocking I/O.
-func (w *worker) admitWaiting(now time.Duration, callerKey admission.Key) {
-	free := w.upstream.Slots - w.engine.Running()
-	decisions := w.gate.Next(now, free, w.status)
-	waiting := w.gate.WaitingForBatch(w.status)
+// request's entry, except for the request with callerKey, whose status it returns.
+// The caller holds mu; reporting does no blocking I/O.
+func (w *worker) admitWaiting(now time.Duration, callerKey admission.Key) residency.Status {
+	own := residency.Waiting
+	decisions := w.gate.Next(now, w.admissible(now), w.status)
 	for _, d := range decisions {
 		if d.Status == residency.Ready {
 			w.engine.RecordAdmission(now, d.Key.Entry, d.Key.Ticket, d.Adapter)
+			w.limiter.Take(now, 1)
 		}
+	}
+	if w.limiter.Limited() {
+		decisions = append(decisions, w.gate.DeclineLate(now, func(ahead int) time.Duration { return w.turnIn(now, ahead) })...)
+	}
+	for _, d := range decisions {
 		if d.Key == callerKey {
+			own = d.Status
 			continue
 		}
-		w.pool.config.ReportStatus(d.Key.Entry, AdmissionStatus{Engine: w.upstream.ID, Ticket: d.Key.Ticket, Status: d.Status, Waiting: waiting})
+		w.pool.config.ReportStatus(d.Key.Entry, w.statusMessage(now, d.Key.Ticket, d.Status))
 	}
+	return own
 }
 
 func (w *worker) recordUse(now time.Duration, entry string, running int, uses []residency.AdapterUse) {
@@ -247,6 +304,7 @@
 		Incarnation:  w.engine.Incarnation(),
 		PendingLoads: w.engine.PendingLoads(),
 		Held:         w.engine.HeldAdapters(),
+		RateLimit:    w.limiter.Known(),
 	}
 	state.Waiting = w.gate.WaitingForBatch(w.status)
 	for _, r := range w.runningByEntry {
@@ -303,7 +361,7 @@
 			}
 		})
 		w.admitWaiting(now, admission.Key{})
-		admissionDelay := w.gate.NextCheckDelay(now)
+		admissionDelay := w.nextAdmissionDelay(now)
 		if !allowed {
 			w.mu.Unlock()
 			return min(mayOrderCheckInterval, admissionDelay)
@@ -328,6 +386,16 @@
 	return mayOrderCheckInterval
 }
 
+// nextAdmissionDelay returns the time until waiting requests may be admitted. The
+// caller holds mu.
+func (w *worker) nextAdmissionDelay(now time.Duration) time.Duration {
+	delay := w.gate.NextCheckDelay(now)
+	if turn := w.limiter.TurnIn(now, 0); turn > 0 && w.gate.HasWaiting() {
+		delay = min(delay, turn)
+	}
+	return delay
+}
+
 // checkAllowed reports whether orders may be sent. If the fencing token has
 // changed, it discards the engine's state: other daemons may have sent orders
 // in the meantime.
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -43,8 +43,11 @@
 	admissionEngine string
 	admissionTicket uint64
 	admissionOver   bool
-	// waitedForPause is set once the request has waited for the end of a pause.
-	waitedForPause bool
+	// waitedForTurn is set once the request has waited for the end of a pause or for
+	// room within a rate limit.
+	waitedForTurn bool
+	// onlyEngine is set if the last choice had one engine to choose from.
+	onlyEngine bool
 	// declines counts the engines that could not accept the request.
 	declines int
 	// admissionWait is the time spent waiting for adapter loads and admissions.
--- a/internal/relay/model.go
+++ b/internal/relay/model.go
@@ -9,6 +9,7 @@
 	"github.com/barleylift/barleylift/internal/clock"
 	"github.com/barleylift/barleylift/internal/locator"
 	"github.com/barleylift/barleylift/internal/orders"
+	"github.com/barleylift/barleylift/internal/ratelimit"
 	"github.com/barleylift/barleylift/internal/routing"
 	"github.com/barleylift/barleylift/internal/steer"
 	"github.com/barleylift/barleylift/internal/topology"
@@ -59,7 +60,7 @@
 			return
 		}
 		choice, ok := e.pickEngine()
-		if (!ok || choice.NeedsLoad) && e.awaitPauseEnd(ok) {
+		if (!ok || choice.NeedsLoad) && e.awaitNextTurn(ok) {
 			continue
 		}
 		if !ok {
@@ -92,6 +93,7 @@
 		e.tried = nil
 		engines = e.relay.config.Locator.Engines(e.service.Name, e.call.Adapter, nil, random)
 	}
+	e.onlyEngine = len(engines) == 1
 	return steer.PickEngine(e.call.Adapter, engines, random)
 }
 
@@ -101,7 +103,7 @@
 func (e *exchange) awaitAdmission(choice steer.Choice) (ticket uint64, admitted bool) {
 	engines := e.relay.config.Locator
 	if !choice.NeedsLoad && !engines.MayHaveOwner(choice.Engine) {
-		return 0, true
+		return 0, e.admitUnowned(choice.Engine)
 	}
 	started := time.Now()
 	now := clock.Boot()
@@ -117,6 +119,7 @@
 		FirstEventDue:  now + e.route.LatencyObjective - time.Since(e.arrivedAt),
 		Deadline:       now + e.timeToSend(),
 		NeedsLoad:      choice.NeedsLoad,
+		TurnBy:         now + e.maxTurnWait(),
 	})
 	if admission == locator.Declined || admission == locator.Unowned && choice.NeedsLoad {
 		e.backOff()
@@ -130,12 +133,33 @@
 	case locator.Admitted:
 		return ticket, true
 	case locator.Unowned:
-		return 0, !choice.NeedsLoad
+		return 0, !choice.NeedsLoad && e.admitUnowned(choice.Engine)
 	default:
 		return 0, false
 	}
 }
 
+// admitUnowned reports whether the request may be sent to an engine without an
+// owner. One with a rate limit is left out: nobody keeps the requests of all daemons
+// below it.
+func (e *exchange) admitUnowned(engine string) bool {
+	if !e.relay.config.Locator.RateLimited(engine) {
+		return true
+	}
+	e.tried = append(e.tried, engine)
+	e.backOff()
+	return false
+}
+
+// maxTurnWait returns how long the request waits for its turn at an engine with a
+// rate limit: a moment, if other engines may serve it.
+func (e *exchange) maxTurnWait() time.Duration {
+	if e.onlyEngine {
+		return e.timeToSend()
+	}
+	return min(ratelimit.MaxWait, e.timeToSend())
+}
+
 // backOff waits before the next choice after an engine could not accept the
 // request. The delay doubles with each call, up to maxDeclinedBackoff.
 func (e *exchange) backOff() {
@@ -179,7 +203,7 @@
 	engines := e.relay.config.Locator
 	e.setAdmission(id, ticket)
 	defer e.reportRequestEnded()
-	upstream, ok := engines.Upstream(id)
+	upstream, ok := engines.Upstream(id, ticket != 0)
 	if !ok {
 		e.tried = append(e.tried, id)
 		return false
--- a/internal/relay/pause.go
+++ b/internal/relay/pause.go
@@ -13,26 +13,26 @@
 	return xxhash.Sum64String(e.call.ID)
 }
 
-// awaitPauseEnd waits, at most once a request, for an upstream that pauses if it
-// takes the request within pausing.MaxWait. If others would take the request after
-// they have loaded its adapter, only the end of a holder's pause is worth a wait. It
-// returns false if it did not wait.
-func (e *exchange) awaitPauseEnd(othersCanLoad bool) bool {
-	wait, _, ok := e.relay.config.Locator.PauseEnd(e.service.Name, e.call.Adapter, othersCanLoad, e.random())
-	if !ok || e.waitedForPause || wait > pausing.MaxWait || wait >= e.timeLeft() || !e.mayRunAgain() {
+// awaitNextTurn waits, at most once a request, for an upstream that pauses or has no
+// room within its rate limit, if it takes the request within pausing.MaxWait. If
+// others would take the request after they have loaded its adapter, only a holder is
+// worth a wait. It returns false if it did not wait.
+func (e *exchange) awaitNextTurn(othersCanLoad bool) bool {
+	wait, _, ok := e.relay.config.Locator.NextTurn(e.service.Name, e.call.Adapter, othersCanLoad, e.random())
+	if !ok || e.waitedForTurn || wait > pausing.MaxWait || wait >= e.timeLeft() || !e.mayRunAgain() {
 		return false
 	}
-	e.waitedForPause = true
+	e.waitedForTurn = true
 	e.tried = nil
 	return clock.Sleep(e.ctx, wait)
 }
 
-// giveUpForNow ends a request that no upstream takes now. If some pause, its caller
-// is told to come back when they take all requests.
+// giveUpForNow ends a request that no upstream takes now. If all pause or have no
+// room, its caller is told to come back when the first takes requests again.
 func (e *exchange) giveUpForNow(reason string) {
 	retryAfter := retryAfterBusy
-	if _, returnAfter, ok := e.relay.config.Locator.PauseEnd(e.service.Name, e.call.Adapter, false, e.random()); ok {
-		retryAfter, reason = max(returnAfter, retryAfterBusy), "the upstreams have asked for a pause"
+	if _, returnAfter, ok := e.relay.config.Locator.NextTurn(e.service.Name, e.call.Adapter, false, e.random()); ok {
+		retryAfter, reason = max(returnAfter, retryAfterBusy), "the upstreams have asked for a pause or fewer requests"
 	}
 	e.giveUp(http.StatusBadGateway, retryAfter, reason)
 }
--- a/internal/relay/plain.go
+++ b/internal/relay/plain.go
@@ -33,7 +33,7 @@
 	for !e.endIfExpired() {
 		replicas := e.relay.config.Locator.Replicas(e.service.Name, e.tried, e.random())
 		id, ok := steer.PickReplica(replicas)
-		if !ok && e.awaitPauseEnd(false) {
+		if !ok && e.awaitNextTurn(false) {
 			continue
 		}
 		if !ok {
@@ -56,7 +56,10 @@
 // has ended.
 func (e *exchange) tryReplica(id string) bool {
 	locator := e.relay.config.Locator
-	upstream, ok := locator.Upstream(id)
+	if !locator.AwaitTurn(e.ctx, id) {
+		return false
+	}
+	upstream, ok := locator.Upstream(id, true)
 	if !ok {
 		e.tried = append(e.tried, id)
 		return false
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -13,6 +13,7 @@
 	"github.com/barleylift/barleylift/internal/locator"
 	"github.com/barleylift/barleylift/internal/metrics"
 	"github.com/barleylift/barleylift/internal/orders"
+	"github.com/barleylift/barleylift/internal/ratelimit"
 	"github.com/barleylift/barleylift/internal/residency"
 	"github.com/barleylift/barleylift/internal/routing"
 	"github.com/barleylift/barleylift/internal/topology"
@@ -44,8 +45,9 @@
 	var engines *locator.Locator
 	engines, err := locator.New(locator.Config{
 		Zone: "z", Name: "vm", Log: log,
-		SendRequest:  func(engine string, r locator.AdmissionRequest) bool { return sendRequest(engines, engine, r) },
-		SendProgress: func(string, uint64, orders.AdmissionProgress) {},
+		SendRequest:     func(engine string, r locator.AdmissionRequest) bool { return sendRequest(engines, engine, r) },
+		SendProgress:    func(string, uint64, orders.AdmissionProgress) {},
+		SendTurnRequest: func(ratelimit.Request) bool { return false },
 	})
 	if err != nil {
 		t.Fatal(err)
--- a/internal/residency/engine.go
+++ b/internal/residency/engine.go
@@ -400,6 +400,8 @@
 	Declined
 	// Unreachable: no process answers at the engine's address.
 	Unreachable
+	// NoRoom: the engine's rate limit leaves no room for the request in time.
+	NoRoom
 )
 
 // Status returns the status of an adapter in the version or a newer one.
