hop: informational responses without end end the exchange

A caller's request was held until its deadline, with a core busy, by an engine that sends informational responses without end: each began a new head with its own limit.

--- a/internal/hop/exchange.go
+++ b/internal/hop/exchange.go
@@ -24,6 +24,9 @@
 // maxStaleBodyBytes limits the body of a response that is skipped.
 const maxStaleBodyBytes = 256 << 10
 
+// maxInformational limits the informational responses before a response.
+const maxInformational = 16
+
 // Request is one request, sent without changes.
 type Request struct {
 	Method string
@@ -81,6 +84,8 @@
 	// errForeignResponse is returned if the responses on a connection belong to
 	// other requests.
 	errForeignResponse = errors.New("the answer belongs to another request")
+	// errTooManyInformational is returned if informational responses don't end.
+	errTooManyInformational = errors.New("too many informational responses before the answer")
 	// errUnidentifiedResponse is returned if a response may belong to any request
 	// that the connection has carried.
 	errUnidentifiedResponse = errors.New("the answer has no identifier and the connection has carried other requests")
@@ -184,6 +189,7 @@
 // readHead reads response heads until one is the final response to the request.
 // It returns how many responses to other requests it has skipped.
 func (c *conn) readHead(request *Request, options Options) (final *http.Response, skipped int, err error) {
+	informational := 0
 	for {
 		c.limited.remaining = maxHeadBytes
 		response, err := http.ReadResponse(c.reader, &http.Request{Method: request.Method})
@@ -192,6 +198,9 @@
 		}
 		c.limited.remaining = math.MaxInt64
 		if response.StatusCode/100 == 1 {
+			if informational++; informational > maxInformational {
+				return nil, skipped, errTooManyInformational
+			}
 			continue
 		}
 		own, err := c.isOwn(response, options)
