relay: refusals that stall don't hold up a request, and answers have a highest length

An engine that refuses a request and stalls in the body of the refusal held the request until its deadline instead of letting it go to another engine. A forwarded body without end was bounded by the caller's time alone. The body of a refusal is read for 50 ms at most, a forwarded answer ends as broken after 64 MiB.

--- a/internal/relay/model.go
+++ b/internal/relay/model.go
@@ -310,14 +310,18 @@
 	drain(result)
 }
 
-// maxRefusalBytes limits the body of a refusal that is read in order to reuse
-// the connection.
-const maxRefusalBytes = 4 << 10
+// maxRefusalBytes and maxRefusalTime limit the body of a refusal that is read in
+// order to reuse the connection.
+const (
+	maxRefusalBytes = 4 << 10
+	maxRefusalTime  = 50 * time.Millisecond
+)
 
 // drain reads the short body of a response that is not forwarded.
 func drain(result sendResult) {
+	timeout := time.AfterFunc(maxRefusalTime, result.response.Discard)
 	n, err := io.Copy(io.Discard, io.LimitReader(result.response.Body, maxRefusalBytes+1))
-	if err != nil || n > maxRefusalBytes {
+	if !timeout.Stop() || err != nil || n > maxRefusalBytes {
 		result.response.Discard()
 		return
 	}
--- a/internal/relay/plain.go
+++ b/internal/relay/plain.go
@@ -24,6 +24,9 @@
 	// before its head is forwarded, so that the request can be resent if the
 	// response is truncated.
 	maxBufferedBytes = 256 << 10
+	// maxAnswerBytes limits a forwarded response, far above any real one: a faulty
+	// upstream may send bytes without end.
+	maxAnswerBytes = 64 << 20
 )
 
 // servePlain sends the request to replicas until one has responded or the
@@ -110,6 +113,7 @@
 var (
 	errTryTimeout = errors.New("the replica took too long")
 	errTruncated  = errors.New("the answer broke off")
+	errEndless    = errors.New("the answer is longer than any real one")
 )
 
 // forwardBody forwards a response with its complete body and reports whether
@@ -135,9 +139,10 @@
 	if complete {
 		return true
 	}
-	if _, err := io.Copy(e.w, result.response.Body); err != nil {
+	n, err := io.Copy(e.w, io.LimitReader(result.response.Body, maxAnswerBytes))
+	if err != nil || n == maxAnswerBytes {
 		result.response.Discard()
-		return e.endBroken("the answer broke off")
+		return e.endBroken("the answer broke off or has no end")
 	}
 	result.response.Release()
 	return true
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -18,11 +18,14 @@
 func (e *exchange) forwardStream(upstream topology.Upstream, result sendResult) bool {
 	reader := newEventReader(result.response.Body)
 	controller := http.NewResponseController(e.w)
-	for {
+	for forwarded := 0; ; {
 		event, rest, err := reader.next()
 		if err != nil {
 			return e.handleStreamEnd(upstream, result, rest, err)
 		}
+		if forwarded += len(event.raw); forwarded > maxAnswerBytes {
+			return e.handleStreamEnd(upstream, result, nil, errEndless)
+		}
 		if !e.inOrder(event.id) {
 			return e.handleStreamEnd(upstream, result, nil, errEventOrder)
 		}
