--- a/internal/gateway/apply.go
+++ b/internal/gateway/apply.go
@@ -96,7 +96,7 @@
 	switch {
 	case !ok || !upstream.SameProcess(current):
 		g.log.Info("upstream registered", "upstream", upstream.ID, "service", upstream.Service, "address", upstream.Address.String(),
-			"born", upstream.Incarnation, "leaving", upstream.Leaving, "models", len(upstream.Models))
+			"born", upstream.Incarnation, "software", upstream.SoftwareVersion, "leaving", upstream.Leaving, "models", len(upstream.Models))
 	case upstream.Leaving && !current.Leaving:
 		g.log.Info("upstream is leaving", "upstream", upstream.ID, "remaining_ms", upstream.RemainingLifetime.Milliseconds())
 	}
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -92,6 +92,9 @@
 	e.cancel()
 	took := time.Since(e.arrivedAt)
 	e.relay.config.Metrics.RequestEnded(e.route.Name, e.outcome, took)
+	if e.call.LastEventID != "" {
+		e.relay.log.Info("request resumes a stream", "id", e.call.ID, "first_try", e.call.FirstTry, "last_event", e.call.LastEventID)
+	}
 	e.relay.log.Info("request ended", "id", e.call.ID, "route", e.route.Name, "version", e.table.Version(), "outcome", e.outcome,
 		"status", e.status, "reason", e.reason, "upstream", e.upstreamID, "adapter", e.call.Adapter.String(), "sends", e.sends, "runs", e.possibleRuns,
 		"events", e.events, "first_ms", e.timeToFirstEvent.Milliseconds(), "pause_ms", e.maxEventGap.Milliseconds(), "waited_ms", e.admissionWait.Milliseconds(), "took_ms", took.Milliseconds())
--- a/internal/relay/types.go
+++ b/internal/relay/types.go
@@ -28,6 +28,9 @@
 	// LastEventID identifies the last event that the caller received of a stream;
 	// empty to start the stream from its beginning.
 	LastEventID string
+	// FirstTry is the ID of the caller's request that brought the first event of a
+	// stream which this one resumes; empty if not stated.
+	FirstTry string
 	// Header holds the fields to forward, without hop-by-hop fields and those that
 	// only the daemon sets.
 	Header http.Header
--- a/internal/topology/upstream.go
+++ b/internal/topology/upstream.go
@@ -44,8 +44,11 @@
 	// A process restarted under the same ID has a higher Incarnation.
 	Incarnation int64
 	Service     string
-	Address     netip.AddrPort
-	Zone        string
+	// SoftwareVersion is the version of the process's software, not of any weights;
+	// empty if unknown. A process restarted under the same ID may have another one.
+	SoftwareVersion string
+	Address         netip.AddrPort
+	Zone            string
 	// Slots is the number of requests that the upstream runs concurrently.
 	Slots int
 	// Leaving is set when no new requests may be sent.
