origin, relay, locator, orders, gateway: a stream goes on only at the software version that began it

Streams held events of engines of two software versions, within one answer and over a caller's attempts.

Cause: the choice of an engine for a stream that has begun looked at adapter and load alone, and the daemon that a caller comes back to couldn't know which version began the stream. The class is state of a stream that lives only in the daemon which forwards it, and is needed most when that daemon has ended.

All resumptions choose among engines of that version. Without knowledge, or without such an engine, the request is refused at once as not run. A registration that may be that of an earlier process of the engine, as its owner knows a later one, states no version.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -59,6 +59,7 @@
 	budgets *budgets
 	peers   *peers
 	turns   *turns
+	origins *origins
 	// forwardLimiter limits the bytes that this daemon forwards as a watcher.
 	forwardLimiter *rate.Limiter
 
@@ -134,6 +135,7 @@
 		reassign:           make(chan struct{}, 1),
 		peers:              newPeers(),
 		turns:              newTurns(),
+		origins:            newOrigins(),
 		forwardLimiter:     rate.NewLimiter(forwardRate, forwardBurst),
 	}
 	g.settings.Store(&s)
@@ -184,6 +186,7 @@
 		Budget:   func(service string) *limit.RetryBudget { return g.budgets.of(service) },
 		Metrics:  meters,
 		Observe:  g.observeStatement,
+		Origins:  g,
 		Log:      log,
 	}); err != nil {
 		return err
--- a/internal/gateway/notices.go
+++ b/internal/gateway/notices.go
@@ -252,8 +252,16 @@
 		status := packet.AdmissionStatus
 		g.locator.HandleStatus(orders.AdmissionStatus{
 			Engine: status.Engine, Ticket: status.Ticket, Status: residency.Status(status.Status), Waiting: status.Waiting,
-			RoomIn: time.Duration(status.RoomIn) * time.Millisecond,
+			Incarnation: status.Incarnation, RoomIn: time.Duration(status.RoomIn) * time.Millisecond,
 		})
+	case packet.Origin != nil:
+		g.origins.record(packet.Origin.Request, packet.Origin.SoftwareVersion, time.Duration(packet.Origin.TTL)*time.Second)
+	case packet.OriginQuery != nil:
+		g.answerOrigin(packet.From, packet.OriginQuery)
+	case packet.OriginAnswer != nil:
+		answer := *packet.OriginAnswer
+		answer.From = packet.From
+		g.origins.answer(answer)
 	case packet.TurnRequest != nil:
 		g.handleTurnRequest(turnRequestOf(packet.From, packet.TurnRequest))
 	case packet.TurnGrant != nil:
@@ -378,6 +386,7 @@
 	}
 	g.mesh.Send(m.Mesh, mesh.Packet{AdmissionStatus: &mesh.AdmissionStatus{
 		Engine: status.Engine, Ticket: status.Ticket, Status: int(status.Status), Waiting: status.Waiting, RoomIn: status.RoomIn.Milliseconds(),
+		Incarnation: status.Incarnation,
 	}})
 }
 
--- a/internal/locator/locator.go
+++ b/internal/locator/locator.go
@@ -131,17 +131,41 @@
 	}
 }
 
-// Engines returns the engines of a service for a request for an adapter, without
+// Need is what a request needs of an engine.
+type Need struct {
+	Service string
+	Adapter topology.Adapter
+	// SoftwareVersion is the version of the software that began the request's
+	// stream; empty for any.
+	SoftwareVersion string
+	// Random is a number of the request.
+	Random uint64
+}
+
+// SoftwareVersion returns the version of the software of a process; empty if it is
+// unknown or the process is not the current one.
+func (l *Locator) SoftwareVersion(id string, incarnation int64) string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if v := l.views[id]; v != nil && v.upstream.Incarnation == incarnation {
+		return v.softwareVersion()
+	}
+	return ""
+}
+
+// Engines returns the engines for a request, without those of another software
+// version, and without
 // those that are leaving, pause, have no room within their rate limit, lack the base
-// model or were tried before. random is a number of the request.
-func (l *Locator) Engines(service string, adapter topology.Adapter, tried []string, random uint64) []steer.Engine {
+// model or were tried before.
+func (l *Locator) Engines(need Need, tried []string) []steer.Engine {
 	now := clock.Boot()
+	adapter := need.Adapter
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	needed, allowed := l.versions[adapter].at(now)
-	engines := make([]steer.Engine, 0, len(l.services[service]))
-	for id, v := range l.services[service] {
-		if v.upstream.Leaving || slices.Contains(tried, id) || !v.holdsModel(adapter.Model) || now < v.takesAt(random) {
+	engines := make([]steer.Engine, 0, len(l.services[need.Service]))
+	for id, v := range l.services[need.Service] {
+		if slices.Contains(tried, id) || !v.mayServe(need) || now < v.takesAt(need.Random) {
 			continue
 		}
 		version, held := v.held[adapter]
--- a/internal/locator/locator_test.go
+++ b/internal/locator/locator_test.go
@@ -50,7 +50,7 @@
 }
 
 func (o *owner) engineCount(adapter topology.Adapter, tried ...string) int {
-	return len(o.locator.Engines("lm", adapter, tried, 0))
+	return len(o.locator.Engines(Need{Service: "lm", Adapter: adapter}, tried))
 }
 
 func TestEnginesThatMayNotBeUsedAreLeftOut(t *testing.T) {
@@ -96,11 +96,11 @@
 	o.locator.SetUpstream(engine("e", nil))
 	o.locator.ApplyState(orders.EngineState{Engine: "e", Incarnation: 1, Held: []residency.HeldAdapter{{Adapter: climb, Version: 1}}})
 	o.locator.SetUpstream(engine("e", func(u *topology.Upstream) { u.Incarnation, u.Models[0].Adapters = 2, nil }))
-	if e := o.locator.Engines("lm", climb, nil, 0); len(e) != 1 || e[0].Holds {
+	if e := o.locator.Engines(Need{Service: "lm", Adapter: climb}, nil); len(e) != 1 || e[0].Holds {
 		t.Errorf("after the restart: %+v", e)
 	}
 	o.locator.ApplyState(orders.EngineState{Engine: "e", Incarnation: 1, Held: []residency.HeldAdapter{{Adapter: climb, Version: 1}}})
-	if e := o.locator.Engines("lm", climb, nil, 0); e[0].Holds {
+	if e := o.locator.Engines(Need{Service: "lm", Adapter: climb}, nil); e[0].Holds {
 		t.Error("the state of the earlier process was applied")
 	}
 }
@@ -125,7 +125,7 @@
 	o := newOwner(t)
 	o.locator.SetUpstream(engine("e", nil))
 	o.locator.SetVersion(climb, 2)
-	if e := o.locator.Engines("lm", climb, nil, 0); e[0].Holds || !e[0].HoldsUsableOlder {
+	if e := o.locator.Engines(Need{Service: "lm", Adapter: climb}, nil); e[0].Holds || !e[0].HoldsUsableOlder {
 		t.Errorf("an engine with version 1, just after version 2 was set: %+v", e[0])
 	}
 	o.locator.SetVersion(climb, 1)
--- a/internal/locator/pause.go
+++ b/internal/locator/pause.go
@@ -5,7 +5,6 @@
 
 	"github.com/barleylift/barleylift/internal/clock"
 	"github.com/barleylift/barleylift/internal/pausing"
-	"github.com/barleylift/barleylift/internal/topology"
 )
 
 // RecordPause records that a process of an upstream wants nothing from this VM
@@ -42,20 +41,20 @@
 // request, and after which time the request's caller should come back if it is
 // refused. Only upstreams that hold the adapter count if needHeld is set. It returns
 // false unless all of them pause or have no room within their rate limits.
-func (l *Locator) NextTurn(service string, adapter topology.Adapter, needHeld bool, random uint64) (wait, returnAfter time.Duration, ok bool) {
+func (l *Locator) NextTurn(need Need, needHeld bool) (wait, returnAfter time.Duration, ok bool) {
 	now := clock.Boot()
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for _, v := range l.services[service] {
-		if !v.mayServe(adapter, needHeld) {
+	for _, v := range l.services[need.Service] {
+		if _, held := v.held[need.Adapter]; !v.mayServe(need) || needHeld && !held {
 			continue
 		}
-		takesIn := v.takesAt(random) - now
+		takesIn := v.takesAt(need.Random) - now
 		if takesIn <= 0 {
 			return 0, 0, false
 		}
 		if !ok || takesIn < wait {
-			wait, returnAfter, ok = takesIn, v.returnAfter(now, random), true
+			wait, returnAfter, ok = takesIn, v.returnAfter(now, need.Random), true
 		}
 	}
 	return wait, returnAfter, ok
@@ -75,12 +74,11 @@
 	return after
 }
 
-// mayServe reports whether an upstream that does not pause could take requests for
-// an adapter, or for a plain service if there is none.
-func (v *view) mayServe(adapter topology.Adapter, needHeld bool) bool {
-	if v.upstream.Leaving || adapter.Model != "" && !v.holdsModel(adapter.Model) {
+// mayServe reports whether an upstream that takes requests could serve one, of an
+// adapter, or of a plain service if there is none.
+func (v *view) mayServe(need Need) bool {
+	if v.upstream.Leaving || need.Adapter.Model != "" && !v.holdsModel(need.Adapter.Model) {
 		return false
 	}
-	_, held := v.held[adapter]
-	return held || !needHeld
+	return need.SoftwareVersion == "" || need.SoftwareVersion == v.softwareVersion()
 }
--- a/internal/locator/pause_test.go
+++ b/internal/locator/pause_test.go
@@ -19,7 +19,7 @@
 	leaving.Leaving = true
 	available := func() bool {
 		_, ok := o.locator.Upstream("e", false)
-		return ok && len(o.locator.Engines("lm", climb, nil, 0)) == 1
+		return ok && len(o.locator.Engines(Need{Service: "lm", Adapter: climb}, nil)) == 1
 	}
 	steps := []struct {
 		name string
@@ -40,7 +40,7 @@
 			t.Errorf("%s: available %t, want %t", step.name, got, step.want)
 		}
 	}
-	if _, _, ok := o.locator.NextTurn("lm", climb, false, 0); ok {
+	if _, _, ok := o.locator.NextTurn(Need{Service: "lm", Adapter: climb}, false); ok {
 		t.Error("the end of the pause of an upstream that leaves is offered to callers")
 	}
 }
@@ -53,18 +53,18 @@
 	}
 	o.locator.SetUpstream(engine("cold", func(u *topology.Upstream) { u.Models[0].Adapters = nil }))
 	o.locator.RecordPause("a", 1, 2*time.Second)
-	if _, _, ok := o.locator.NextTurn("lm", climb, true, 0); ok {
+	if _, _, ok := o.locator.NextTurn(Need{Service: "lm", Adapter: climb}, true); ok {
 		t.Error("one of two holders pauses: the end of its pause is awaited")
 	}
 	o.locator.RecordPause("b", 1, time.Second)
-	if wait, _, ok := o.locator.NextTurn("lm", climb, true, 0); !ok || wait > time.Second {
+	if wait, _, ok := o.locator.NextTurn(Need{Service: "lm", Adapter: climb}, true); !ok || wait > time.Second {
 		t.Errorf("both holders pause: got %v, %t, want the end of the shorter pause", wait, ok)
 	}
-	if _, _, ok := o.locator.NextTurn("lm", climb, false, 0); ok {
+	if _, _, ok := o.locator.NextTurn(Need{Service: "lm", Adapter: climb}, false); ok {
 		t.Error("an engine without the adapter does not pause: the end of the holders' pauses is awaited")
 	}
 	o.locator.RecordPause("cold", 1, time.Minute)
-	if _, returnAfter, ok := o.locator.NextTurn("lm", climb, false, 1<<63); !ok || returnAfter > 3*time.Second {
+	if _, returnAfter, ok := o.locator.NextTurn(Need{Service: "lm", Adapter: climb, Random: 1 << 63}, false); !ok || returnAfter > 3*time.Second {
 		t.Errorf("all engines pause: callers come back after %v, %t", returnAfter, ok)
 	}
 }
--- a/internal/locator/ratelimit_test.go
+++ b/internal/locator/ratelimit_test.go
@@ -25,7 +25,7 @@
 		t.Helper()
 		_, ungranted := o.locator.Upstream("e", false)
 		_, granted := o.locator.Upstream("e", true)
-		engines := o.locator.Engines("lm", climb, nil, 0)
+		engines := o.locator.Engines(Need{Service: "lm", Adapter: climb}, nil)
 		if ungranted == limited || !granted || len(engines) != 1 || engines[0].LoadsPaused != limited {
 			t.Errorf("%s: ungranted %t, granted %t, engines %+v; want limited %t", step, ungranted, granted, engines, limited)
 		}
@@ -58,14 +58,14 @@
 		o.locator.RecordRateLimit(id, 1, limitOf(0.5))
 	}
 	o.locator.HandleStatus(orders.AdmissionStatus{Engine: "a", Status: residency.NoRoom, RoomIn: time.Minute})
-	if engines := o.locator.Engines("lm", climb, nil, 0); len(engines) != 1 || engines[0].ID != "b" {
+	if engines := o.locator.Engines(Need{Service: "lm", Adapter: climb}, nil); len(engines) != 1 || engines[0].ID != "b" {
 		t.Errorf("engines %+v, want b alone", engines)
 	}
-	if _, _, ok := o.locator.NextTurn("lm", climb, false, 0); ok {
+	if _, _, ok := o.locator.NextTurn(Need{Service: "lm", Adapter: climb}, false); ok {
 		t.Error("callers are sent away although an engine has room")
 	}
 	o.locator.HandleStatus(orders.AdmissionStatus{Engine: "b", Status: residency.NoRoom, RoomIn: 2 * time.Minute})
-	wait, after, ok := o.locator.NextTurn("lm", climb, false, 0)
+	wait, after, ok := o.locator.NextTurn(Need{Service: "lm", Adapter: climb}, false)
 	if !ok || wait > time.Minute || wait < time.Minute-time.Second || after < wait {
 		t.Errorf("next turn in %v, return after %v, %t; want a minute", wait, after, ok)
 	}
--- a/internal/locator/view.go
+++ b/internal/locator/view.go
@@ -28,6 +28,8 @@
 // view is this entry's view of one engine or replica.
 type view struct {
 	upstream topology.Upstream
+	// ownerIncarnation is the highest incarnation of which the engine's owner knows.
+	ownerIncarnation int64
 	// held lists the adapters that serve requests, with their versions.
 	held map[topology.Adapter]int64
 	// state is the last state that the owner reported, if hasState is set, and
@@ -116,6 +118,7 @@
 // applyState records the state that the owner reported. It ignores the state of
 // another incarnation of the engine.
 func (v *view) applyState(now time.Duration, state orders.EngineState) {
+	v.ownerIncarnation = max(v.ownerIncarnation, state.Incarnation)
 	if state.Incarnation != v.upstream.Incarnation {
 		return
 	}
@@ -162,6 +165,15 @@
 	return false
 }
 
+// softwareVersion returns the version of the process's software; empty if it is
+// unknown, or the registration is that of an earlier process.
+func (v *view) softwareVersion() string {
+	if v.ownerIncarnation > v.upstream.Incarnation {
+		return ""
+	}
+	return v.upstream.SoftwareVersion
+}
+
 func (v *view) useOf(adapter topology.Adapter) *use {
 	u := v.uses[adapter]
 	if u == nil {
--- a/internal/locator/wait.go
+++ b/internal/locator/wait.go
@@ -243,6 +243,7 @@
 	if v := l.views[status.Engine]; v != nil {
 		v.state.Waiting = status.Waiting
 		v.waitingAtState = v.waiting
+		v.ownerIncarnation = max(v.ownerIncarnation, status.Incarnation)
 		if status.Status == residency.NoRoom {
 			v.roomAt = max(v.roomAt, clock.Boot()+max(status.RoomIn, minRoomIn))
 		}
--- a/internal/mesh/packet.go
+++ b/internal/mesh/packet.go
@@ -24,6 +24,34 @@
 	// that have no owner.
 	TurnRequest *TurnRequest `cbor:"11,keyasint,omitempty"`
 	TurnGrant   *TurnGrant   `cbor:"12,keyasint,omitempty"`
+	// Origin, OriginQuery and OriginAnswer are about the software versions that
+	// began streams.
+	Origin       *Origin       `cbor:"13,keyasint,omitempty"`
+	OriginQuery  *OriginQuery  `cbor:"14,keyasint,omitempty"`
+	OriginAnswer *OriginAnswer `cbor:"15,keyasint,omitempty"`
+}
+
+// Origin says which software version began the stream of a caller's request. The
+// receiver keeps it for TTL seconds.
+type Origin struct {
+	_               struct{} `cbor:",toarray"`
+	Request         string
+	SoftwareVersion string
+	TTL             int64
+}
+
+// OriginQuery asks which software version began the stream of a request.
+type OriginQuery struct {
+	_       struct{} `cbor:",toarray"`
+	Request string
+}
+
+// OriginAnswer answers an OriginQuery. From is not sent: it is the packet's sender.
+type OriginAnswer struct {
+	From            string `cbor:"-"`
+	Request         string `cbor:"1,keyasint"`
+	SoftwareVersion string `cbor:"2,keyasint,omitempty"`
+	Known           bool   `cbor:"3,keyasint,omitempty"`
 }
 
 // RateLimit is what the sender knows of the rate limit of an upstream's process:
@@ -174,6 +202,8 @@
 	Status int    `cbor:"3,keyasint,omitempty"`
 	// Waiting is the number of requests that wait for room in the engine's batch.
 	Waiting int `cbor:"4,keyasint,omitempty"`
+	// Incarnation is that of the engine's process, as its owner knows it.
+	Incarnation int64 `cbor:"6,keyasint,omitempty"`
 	// RoomIn is when the engine's rate limit leaves room for another request, in
 	// milliseconds.
 	RoomIn int64 `cbor:"5,keyasint,omitempty"`
--- a/internal/orders/pool.go
+++ b/internal/orders/pool.go
@@ -65,6 +65,8 @@
 	Status residency.Status
 	// Waiting is the number of requests that wait for room in the engine's batch.
 	Waiting int
+	// Incarnation is that of the engine's process, as its owner knows it.
+	Incarnation int64
 	// RoomIn is when the engine's rate limit leaves room for another request, if
 	// Status is residency.NoRoom.
 	RoomIn time.Duration
--- a/internal/orders/worker.go
+++ b/internal/orders/worker.go
@@ -145,7 +145,7 @@
 // statusMessage returns the status of a request as its entry gets it. The caller
 // holds mu.
 func (w *worker) statusMessage(now time.Duration, ticket uint64, status residency.Status) AdmissionStatus {
-	message := AdmissionStatus{Engine: w.upstream.ID, Ticket: ticket, Status: status, Waiting: w.gate.WaitingForBatch(w.status)}
+	message := AdmissionStatus{Engine: w.upstream.ID, Ticket: ticket, Status: status, Waiting: w.gate.WaitingForBatch(w.status), Incarnation: w.engine.Incarnation()}
 	if status == residency.NoRoom {
 		message.RoomIn = w.turnIn(now, 0)
 	}
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -57,6 +57,9 @@
 	// lastEventID is the identifier of the last complete event that was forwarded.
 	lastEventID string
 	events      int
+	// softwareVersion is the version of the engine that began the stream, of which
+	// lastEventID is the last event; empty if it is unknown.
+	softwareVersion string
 	// timeToFirstEvent is counted from the arrival of the request, maxEventGap is
 	// the longest time between two events, and lastEventAt is when the last event
 	// arrived.
@@ -93,7 +96,7 @@
 	took := time.Since(e.arrivedAt)
 	e.relay.config.Metrics.RequestEnded(e.route.Name, e.outcome, took)
 	if e.call.LastEventID != "" {
-		e.relay.log.Info("request resumes a stream", "id", e.call.ID, "first_try", e.call.FirstTry, "last_event", e.call.LastEventID)
+		e.relay.log.Info("request resumes a stream", "id", e.call.ID, "first_try", e.call.FirstTry, "last_event", e.call.LastEventID, "software", e.softwareVersion)
 	}
 	e.relay.log.Info("request ended", "id", e.call.ID, "route", e.route.Name, "version", e.table.Version(), "outcome", e.outcome,
 		"status", e.status, "reason", e.reason, "upstream", e.upstreamID, "adapter", e.call.Adapter.String(), "sends", e.sends, "runs", e.possibleRuns,
@@ -113,6 +116,9 @@
 )
 
 func (e *exchange) serve() {
+	if e.lastEventID != "" && !e.findOrigin() {
+		return
+	}
 	if e.service.Engines != nil {
 		e.serveModel()
 		return
--- a/internal/relay/model.go
+++ b/internal/relay/model.go
@@ -64,7 +64,7 @@
 			continue
 		}
 		if !ok {
-			e.giveUpForNow("no engine can take the request")
+			e.giveUpForNow(e.noEngineReason())
 			return
 		}
 		if choice.SpreadTo != "" {
@@ -81,20 +81,26 @@
 	}
 }
 
+func (e *exchange) noEngineReason() string {
+	if e.lastEventID != "" {
+		return "no engine of the software version that began the stream can take the request"
+	}
+	return "no engine can take the request"
+}
+
 // pickEngine selects an engine. Once all engines were tried, it waits and
 // considers all of them again.
 func (e *exchange) pickEngine() (steer.Choice, bool) {
-	random := e.random()
-	engines := e.relay.config.Locator.Engines(e.service.Name, e.call.Adapter, e.tried, random)
+	engines := e.relay.config.Locator.Engines(e.need(), e.tried)
 	if len(engines) == 0 && len(e.tried) > 0 {
 		if !clock.Sleep(e.ctx, declinedBackoff) {
 			return steer.Choice{}, false
 		}
 		e.tried = nil
-		engines = e.relay.config.Locator.Engines(e.service.Name, e.call.Adapter, nil, random)
+		engines = e.relay.config.Locator.Engines(e.need(), nil)
 	}
 	e.onlyEngine = len(engines) == 1
-	return steer.PickEngine(e.call.Adapter, engines, random)
+	return steer.PickEngine(e.call.Adapter, engines, e.random())
 }
 
 // awaitAdmission waits until the request is admitted at the selected engine,
--- a/internal/relay/pause.go
+++ b/internal/relay/pause.go
@@ -18,7 +18,7 @@
 // others would take the request after they have loaded its adapter, only a holder is
 // worth a wait. It returns false if it did not wait.
 func (e *exchange) awaitNextTurn(othersCanLoad bool) bool {
-	wait, _, ok := e.relay.config.Locator.NextTurn(e.service.Name, e.call.Adapter, othersCanLoad, e.random())
+	wait, _, ok := e.relay.config.Locator.NextTurn(e.need(), othersCanLoad)
 	if !ok || e.waitedForTurn || wait > pausing.MaxWait || wait >= e.timeLeft() || !e.mayRunAgain() {
 		return false
 	}
@@ -31,7 +31,7 @@
 // room, its caller is told to come back when the first takes requests again.
 func (e *exchange) giveUpForNow(reason string) {
 	retryAfter := retryAfterBusy
-	if _, returnAfter, ok := e.relay.config.Locator.NextTurn(e.service.Name, e.call.Adapter, false, e.random()); ok {
+	if _, returnAfter, ok := e.relay.config.Locator.NextTurn(e.need(), false); ok {
 		retryAfter, reason = max(returnAfter, retryAfterBusy), "the upstreams have asked for a pause or fewer requests"
 	}
 	e.giveUp(http.StatusBadGateway, retryAfter, reason)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -35,6 +35,16 @@
 	ResponsesSkipped(service string, n int)
 }
 
+// Origins remembers over all daemons which software version began a stream.
+type Origins interface {
+	// RecordOrigin records which version began the stream of a request. It does not
+	// block.
+	RecordOrigin(request, softwareVersion string, ttl time.Duration)
+	// FindOrigin returns the version that began the stream of a request, if any
+	// daemon that can be reached knows it.
+	FindOrigin(ctx context.Context, request string) (softwareVersion string, ok bool)
+}
+
 // Config holds the dependencies of a Relay.
 type Config struct {
 	Protocol Protocol
@@ -43,6 +53,7 @@
 	// Budget returns the retry budget of a service.
 	Budget  func(service string) *limit.RetryBudget
 	Metrics Metrics
+	Origins Origins
 	// Observe records what an upstream's answer says about later requests. sentAt is
 	// when the request was sent, by clock.Boot, or 0 if the answer may not be the
 	// upstream's own. answer names the answer in the log.
@@ -62,7 +73,7 @@
 
 // New returns a Relay without a routing table.
 func New(config Config) (*Relay, error) {
-	if config.Protocol == nil || config.Locator == nil || config.Pools == nil || config.Budget == nil || config.Metrics == nil || config.Observe == nil || config.Log == nil {
+	if config.Protocol == nil || config.Locator == nil || config.Pools == nil || config.Budget == nil || config.Metrics == nil || config.Origins == nil || config.Observe == nil || config.Log == nil {
 		return nil, errors.New("relay: a dependency is missing")
 	}
 	return &Relay{config: config, log: config.Log.With("part", "relay")}, nil
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"context"
 	"io"
 	"log/slog"
 	"net/http"
@@ -36,6 +37,14 @@
 	w.WriteHeader(status)
 }
 
+// noOrigins knows the origin of no stream.
+type noOrigins struct{}
+
+func (noOrigins) RecordOrigin(string, string, time.Duration) {}
+func (noOrigins) FindOrigin(context.Context, string) (string, bool) {
+	return "", false
+}
+
 // newTestRelay returns a relay with a route to engines and one to a plain
 // service, whose requests run at most once. sendRequest stands in for the engines'
 // owners.
@@ -60,6 +69,7 @@
 		Protocol: minimalProtocol{}, Locator: engines, Pools: &testPools{}, Log: log,
 		Budget:  func(string) *limit.RetryBudget { return budget },
 		Metrics: metrics.NewGateway(prometheus.NewRegistry()),
+		Origins: noOrigins{},
 		Observe: func(topology.Upstream, topology.Statement, time.Duration, string) {},
 	})
 	if err != nil {
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -18,8 +18,15 @@
 func (e *exchange) forwardStream(upstream topology.Upstream, result sendResult) bool {
 	reader := newEventReader(result.response.Body)
 	controller := http.NewResponseController(e.w)
+	recorded := false
 	for forwarded := 0; ; {
 		event, rest, err := reader.next()
+		if hasBytes := err == nil || len(rest) > 0; hasBytes && !recorded {
+			if !e.recordOrigin(upstream) {
+				return e.handleStreamEnd(upstream, result, nil, errOtherSoftware)
+			}
+			recorded = true
+		}
 		if err != nil {
 			return e.handleStreamEnd(upstream, result, rest, err)
 		}
@@ -123,7 +130,7 @@
 	e.relay.log.Info("stream from the engine failed", "id", e.call.ID, "upstream", upstream.ID, "events", e.events, "last_event", e.lastEventID, "error", err)
 	engines.RecordFailure(upstream.ID)
 	e.tried = append(e.tried, upstream.ID)
-	if !e.mayRunAgain() {
+	if !e.mayRunAgain() || !e.mayGoOn() {
 		e.giveUp(http.StatusBadGateway, 0, "the engine broke the stream off")
 		return true
 	}
