steer, admission, orders, locator: the turns of engines with a rate limit go to the requests that need them

Engines with a limit and room load cold adapters again; holders without a limit serve the rest, so that the scarce turns go to requests that would need a load. A request that waits for a load keeps its turn. No request waits for a turn that another may take. An engine that nobody has heard of for 2 s gets other requests too, as only an answer can end the limit.

--- a/internal/admission/gate.go
+++ b/internal/admission/gate.go
@@ -165,6 +165,17 @@
 	return n
 }
 
+// WaitingForLoad returns the number of requests that wait for their adapter's load.
+func (g *Gate) WaitingForLoad(status func(topology.Adapter, int64) residency.Status) int {
+	n := 0
+	for _, w := range g.waiting {
+		if status(w.Adapter, w.Version) == residency.Waiting {
+			n++
+		}
+	}
+	return n
+}
+
 func (g *Gate) prefillTime(tokens int) time.Duration {
 	return time.Duration(tokens) * g.prefillPerToken
 }
--- a/internal/locator/pause.go
+++ b/internal/locator/pause.go
@@ -39,8 +39,9 @@
 
 // NextTurn returns how long it takes until an upstream of a service takes a
 // request, and after which time the request's caller should come back if it is
-// refused. Only upstreams that hold the adapter count if needHeld is set. It returns
-// false unless all of them pause or have no room within their rate limits.
+// refused. It returns false unless all upstreams pause or have no room within their
+// rate limits. If needHeld is set, only upstreams that hold the adapter count, and
+// only pauses: the next room at a holder may go to another request.
 func (l *Locator) NextTurn(need Need, needHeld bool) (wait, returnAfter time.Duration, ok bool) {
 	now := clock.Boot()
 	l.mu.Lock()
@@ -50,7 +51,7 @@
 			continue
 		}
 		takesIn := v.takesAt(need.Random) - now
-		if takesIn <= 0 {
+		if takesIn <= 0 || needHeld && v.pause.Takes(now, need.Random) {
 			return 0, 0, false
 		}
 		if !ok || takesIn < wait {
--- a/internal/locator/ratelimit.go
+++ b/internal/locator/ratelimit.go
@@ -19,6 +19,10 @@
 	// silentGranterPause is how long an upstream is left out whose turns no daemon
 	// grants.
 	silentGranterPause = 500 * time.Millisecond
+	// limitFreshness is how long after the last answer an engine with a rate limit
+	// is left to requests that need it. Then it gets others too: only an answer can
+	// say that the limit has ended.
+	limitFreshness = 2 * time.Second
 	// limitEndSpreadPeriod is how long the end of a rate limit is passed on.
 	limitEndSpreadPeriod = 30 * time.Second
 )
--- a/internal/locator/ratelimit_test.go
+++ b/internal/locator/ratelimit_test.go
@@ -26,7 +26,7 @@
 		_, ungranted := o.locator.Upstream("e", false)
 		_, granted := o.locator.Upstream("e", true)
 		engines := o.locator.Engines(Need{Service: "lm", Adapter: climb}, nil)
-		if ungranted == limited || !granted || len(engines) != 1 || engines[0].LoadsPaused != limited {
+		if ungranted == limited || !granted || len(engines) != 1 || engines[0].RateLimited != limited {
 			t.Errorf("%s: ungranted %t, granted %t, engines %+v; want limited %t", step, ungranted, granted, engines, limited)
 		}
 	}
--- a/internal/orders/worker.go
+++ b/internal/orders/worker.go
@@ -177,7 +177,8 @@
 	case !w.allowed:
 		return 0
 	default:
-		return min(free, w.limiter.Available(now))
+		// Those that wait for a load keep their turns.
+		return min(free, max(w.limiter.Available(now)-w.gate.WaitingForLoad(w.status), 0))
 	}
 }
 
--- a/internal/ratelimit/limiter.go
+++ b/internal/ratelimit/limiter.go
@@ -16,6 +16,9 @@
 	// MaxWait is how long a request waits for its turn while other upstreams may
 	// serve it.
 	MaxWait = 200 * time.Millisecond
+	// MaxLoadWait is the same for a request whose adapter must be loaded first, which
+	// takes about a quarter of a second.
+	MaxLoadWait = 500 * time.Millisecond
 	// minRamp and maxRamp bound the time over which the callers of refused
 	// requests come back.
 	minRamp = 300 * time.Millisecond
--- a/internal/relay/model.go
+++ b/internal/relay/model.go
@@ -125,7 +125,7 @@
 		FirstEventDue:  now + e.route.LatencyObjective - time.Since(e.arrivedAt),
 		Deadline:       now + e.timeToSend(),
 		NeedsLoad:      choice.NeedsLoad,
-		TurnBy:         now + e.maxTurnWait(),
+		TurnBy:         now + e.maxTurnWait(choice.NeedsLoad),
 	})
 	if admission == locator.Declined || admission == locator.Unowned && choice.NeedsLoad {
 		e.backOff()
@@ -159,11 +159,15 @@
 
 // maxTurnWait returns how long the request waits for its turn at an engine with a
 // rate limit: a moment, if other engines may serve it.
-func (e *exchange) maxTurnWait() time.Duration {
-	if e.onlyEngine {
+func (e *exchange) maxTurnWait(needsLoad bool) time.Duration {
+	switch {
+	case e.onlyEngine:
 		return e.timeToSend()
+	case needsLoad:
+		return min(ratelimit.MaxLoadWait, e.timeToSend())
+	default:
+		return min(ratelimit.MaxWait, e.timeToSend())
 	}
-	return min(ratelimit.MaxWait, e.timeToSend())
 }
 
 // backOff waits before the next choice after an engine could not accept the
--- a/internal/steer/engine.go
+++ b/internal/steer/engine.go
@@ -57,6 +57,9 @@
 	// LoadsPaused is set while no adapter should be loaded there, because the
 	// engine's owner is silent or has just declined a request.
 	LoadsPaused bool
+	// RateLimited is set if the engine takes only some requests a second. It has room
+	// for this one.
+	RateLimited bool
 	// PendingLoads is the number of adapters that are being loaded there or wait
 	// for it.
 	PendingLoads int
@@ -100,6 +103,10 @@
 	if len(holders) == 0 && len(olderHolders) == 0 {
 		return Choice{Engine: loadTarget(adapter, excludeIfPossible(engines, holdsOlder)), NeedsLoad: true}, true
 	}
+	// A limited engine's turns go to requests for adapters that no other one holds.
+	if others := slices.DeleteFunc(slices.Concat(holders, olderHolders), isRateLimited); len(others) > 0 {
+		holders, olderHolders = excludeIfPossible(holders, isRateLimited), excludeIfPossible(olderHolders, isRateLimited)
+	}
 	best := leastLoadedHolder(holders, olderHolders, random)
 	choice := Choice{Engine: best.ID}
 	if len(holders) < len(olderHolders) {
@@ -137,9 +144,10 @@
 	return kept
 }
 
-func holdsOlder(e Engine) bool  { return e.HoldsOlder }
-func isSuspect(e Engine) bool   { return e.Suspect }
-func loadsPaused(e Engine) bool { return e.LoadsPaused }
+func holdsOlder(e Engine) bool    { return e.HoldsOlder }
+func isSuspect(e Engine) bool     { return e.Suspect }
+func isRateLimited(e Engine) bool { return e.RateLimited }
+func loadsPaused(e Engine) bool   { return e.LoadsPaused }
 
 // newVersionTarget returns an engine on which to load a new version while the
 // older one still serves: one of the first n without the older version, as those
@@ -147,7 +155,7 @@
 // the older version, as many hold the new one of a hot adapter when the older one
 // may no longer be used.
 func newVersionTarget(adapter topology.Adapter, engines []Engine, n int, random uint64) string {
-	available := slices.DeleteFunc(excludeIfPossible(engines, holdsOlder), loadsPaused)
+	available := slices.DeleteFunc(excludeIfPossible(excludeIfPossible(engines, isRateLimited), holdsOlder), loadsPaused)
 	if len(available) == 0 {
 		return loadTarget(adapter, engines)
 	}
@@ -237,7 +245,7 @@
 	}
 	var available []Engine
 	for _, e := range engines {
-		if !e.Holds && !e.HoldsOlder && !e.LoadsPaused && e.PendingLoads < pendingLoadLimit && e.load()+minSpreadGain <= best.load() {
+		if !e.Holds && !e.HoldsOlder && !e.LoadsPaused && !e.RateLimited && e.PendingLoads < pendingLoadLimit && e.load()+minSpreadGain <= best.load() {
 			available = append(available, e)
 		}
 	}
