locator, relay: callers that name no attempt take up streams while one software version serves

They go on if all engines of the service have had one version for a minute, as far as the daemon knows. A named attempt is still looked up, and refused if it is unknown.

Declined turns and streams that are taken up are counted; a replica without room and an engine that is left out without an owner are logged with the request.

--- a/internal/locator/locator.go
+++ b/internal/locator/locator.go
@@ -46,7 +46,9 @@
 	views    map[string]*view
 	services map[string]map[string]*view
 	versions map[topology.Adapter]versions
-	waits    map[waitKey]*wait
+	// versionsSeenAt holds, by service, when software versions were last in use.
+	versionsSeenAt map[string]map[string]time.Duration
+	waits          map[waitKey]*wait
 	// turns holds the requests that wait for the answer to a SendTurnRequest.
 	turns map[waitKey]chan ratelimit.Grant
 	// admitted holds the admitted requests whose progress has not been reported.
@@ -60,11 +62,14 @@
 		return nil, errors.New("locator: SendRequest, SendProgress, SendTurnRequest and Log are required")
 	}
 	return &Locator{
-		config:     config,
-		log:        config.Log.With("part", "locator"),
-		views:      make(map[string]*view),
-		services:   make(map[string]map[string]*view),
-		versions:   make(map[topology.Adapter]versions),
+		config:   config,
+		log:      config.Log.With("part", "locator"),
+		views:    make(map[string]*view),
+		services: make(map[string]map[string]*view),
+		versions: make(map[topology.Adapter]versions),
+
+		versionsSeenAt: make(map[string]map[string]time.Duration),
+
 		waits:      make(map[waitKey]*wait),
 		turns:      make(map[waitKey]chan ratelimit.Grant),
 		admitted:   make(map[waitKey]bool),
@@ -82,6 +87,7 @@
 		v = nil
 	}
 	if v != nil {
+		l.recordVersion(clock.Boot(), v)
 		v.update(clock.Boot(), upstream)
 		return
 	}
@@ -105,6 +111,7 @@
 	if v == nil {
 		return
 	}
+	l.recordVersion(clock.Boot(), v)
 	delete(l.views, id)
 	delete(l.services[v.upstream.Service], id)
 }
@@ -142,17 +149,6 @@
 	Random uint64
 }
 
-// SoftwareVersion returns the version of the software of a process; empty if it is
-// unknown or the process is not the current one.
-func (l *Locator) SoftwareVersion(id string, incarnation int64) string {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if v := l.views[id]; v != nil && v.upstream.Incarnation == incarnation {
-		return v.softwareVersion()
-	}
-	return ""
-}
-
 // Engines returns the engines for a request, without those of another software
 // version, and without
 // those that are leaving, pause, have no room within their rate limit, lack the base
--- a/internal/metrics/gateway.go
+++ b/internal/metrics/gateway.go
@@ -17,6 +17,8 @@
 	repeatedSends *prometheus.CounterVec
 	refusals      *prometheus.CounterVec
 	skipped       *prometheus.CounterVec
+	turnsDeclined *prometheus.CounterVec
+	takenUp       *prometheus.CounterVec
 	statements    *prometheus.CounterVec
 	engineOrders  *prometheus.CounterVec
 	engineReports *prometheus.CounterVec
@@ -37,6 +39,8 @@
 		repeatedSends: counter("repeated_sends_total", "Sends beyond the first one of a request, by service.", "service", "kind"),
 		refusals:      counter("upstream_refusals_total", "Upstreams' responses that a request has not run, by service and whether they name the request.", "service", "identified"),
 		skipped:       counter("skipped_responses_total", "Responses to other requests on upstreams' connections, by service.", "service"),
+		turnsDeclined: counter("rate_limit_declines_total", "Requests that have found no room within an upstream's rate limit, by service.", "service"),
+		takenUp:       counter("streams_taken_up_total", "Streams that callers take up, by service and whether it is known which software version began them.", "service", "known"),
 		statements:    counter("upstream_statements_total", "Statements about later requests in upstreams' answers, by kind.", "kind"),
 		engineOrders:  counter("engine_orders_total", "Orders to engines by kind and result.", "kind", "result"),
 		engineReports: counter("engine_reports_total", "Questions to engines for their report, by result.", "result"),
@@ -50,7 +54,7 @@
 			Namespace: namespace, Name: "routing_version", Help: "Configuration version in force.",
 		}),
 	}
-	registerer.MustRegister(g.requests, g.duration, g.firstEvent, g.loadWait, g.repeatedSends, g.refusals, g.skipped, g.statements, g.engineOrders, g.engineReports, g.kvCalls, g.meshBytes, g.checkpoints, g.version, g.storeEra)
+	registerer.MustRegister(g.requests, g.duration, g.firstEvent, g.loadWait, g.repeatedSends, g.refusals, g.skipped, g.turnsDeclined, g.takenUp, g.statements, g.engineOrders, g.engineReports, g.kvCalls, g.meshBytes, g.checkpoints, g.version, g.storeEra)
 	return g
 }
 
@@ -86,6 +90,17 @@
 	g.skipped.WithLabelValues(service).Add(float64(n))
 }
 
+// TurnDeclined counts a request that has found no room within an upstream's rate
+// limit.
+func (g *Gateway) TurnDeclined(service string) {
+	g.turnsDeclined.WithLabelValues(service).Inc()
+}
+
+// StreamTakenUp counts a stream that a caller takes up.
+func (g *Gateway) StreamTakenUp(service string, known bool) {
+	g.takenUp.WithLabelValues(service, strconv.FormatBool(known)).Inc()
+}
+
 // Statement counts a statement about later requests in an upstream's answer.
 func (g *Gateway) Statement(kind string) {
 	g.statements.WithLabelValues(kind).Inc()
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -116,7 +116,7 @@
 )
 
 func (e *exchange) serve() {
-	if e.lastEventID != "" && !e.findOrigin() {
+	if e.lastEventID != "" && e.route.Kind == routing.Streaming && !e.findOrigin() {
 		return
 	}
 	if e.service.Engines != nil {
--- a/internal/relay/model.go
+++ b/internal/relay/model.go
@@ -136,6 +136,9 @@
 	e.relay.log.Info("waited for admission", "id", e.call.ID, "engine", choice.Engine, "adapter", e.call.Adapter.String(),
 		"version", engines.NeededVersion(e.call.Adapter), "load", choice.NeedsLoad, "spread", choice.SpreadTo, "turn", admission.String(), "took_ms", waited.Milliseconds())
 	switch admission {
+	case locator.NoRoom:
+		e.relay.config.Metrics.TurnDeclined(e.service.Name)
+		return 0, false
 	case locator.Admitted:
 		return ticket, true
 	case locator.Unowned:
@@ -152,8 +155,8 @@
 	if !e.relay.config.Locator.RateLimited(engine) {
 		return true
 	}
+	e.relay.log.Info("engine with a rate limit has no owner, leaving it out", "id", e.call.ID, "engine", engine)
 	e.tried = append(e.tried, engine)
-	e.backOff()
 	return false
 }
 
--- a/internal/relay/origin.go
+++ b/internal/relay/origin.go
@@ -20,10 +20,17 @@
 
 // findOrigin looks up which software version began the stream that the caller takes
 // up. If that is unknown, it refuses the request: what two versions write doesn't fit
-// together.
+// together. Callers of services that have always had one version may not name the
+// attempt that began the stream.
 func (e *exchange) findOrigin() bool {
 	var ok bool
-	if e.softwareVersion, ok = e.relay.config.Origins.FindOrigin(e.ctx, e.call.FirstTry); ok {
+	if e.call.FirstTry == "" {
+		e.softwareVersion, ok = e.relay.config.Locator.OnlySoftwareVersion(e.service.Name)
+	} else {
+		e.softwareVersion, ok = e.relay.config.Origins.FindOrigin(e.ctx, e.call.FirstTry)
+	}
+	e.relay.config.Metrics.StreamTakenUp(e.service.Name, ok)
+	if ok {
 		return true
 	}
 	e.giveUp(http.StatusBadGateway, 0, "it is unknown which software version began the stream")
--- a/internal/relay/origin_test.go
+++ b/internal/relay/origin_test.go
@@ -69,13 +69,16 @@
 		incarnation    int64
 		status         int
 		runsV1, runsV2 int64
+		onlyV1         bool
 	}{
-		{"begun at v1", "first-v1", 1, http.StatusOK, 1, 0},
-		{"begun at v2", "first-v2", 1, http.StatusOK, 0, 1},
-		{"begun at a version without engines", "first-v3", 1, http.StatusServiceUnavailable, 0, 0},
-		{"unknown attempt", "other", 1, http.StatusServiceUnavailable, 0, 0},
-		{"no attempt named", "", 1, http.StatusServiceUnavailable, 0, 0},
-		{"engine that may have started again with another version", "first-v1", 2, http.StatusServiceUnavailable, 0, 0},
+		{"begun at v1", "first-v1", 1, http.StatusOK, 1, 0, false},
+		{"begun at v2", "first-v2", 1, http.StatusOK, 0, 1, false},
+		{"begun at a version without engines", "first-v3", 1, http.StatusServiceUnavailable, 0, 0, false},
+		{"unknown attempt", "other", 1, http.StatusServiceUnavailable, 0, 0, false},
+		{"no attempt named", "", 1, http.StatusServiceUnavailable, 0, 0, false},
+		{"no attempt named, one version", "", 1, http.StatusOK, 1, 0, true},
+		{"unknown attempt, one version", "other", 1, http.StatusServiceUnavailable, 0, 0, true},
+		{"engine that may have started again with another version", "first-v1", 2, http.StatusServiceUnavailable, 0, 0, false},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
@@ -89,7 +92,9 @@
 			v1, registration := startStreams(t, "v1", false)
 			engines.SetUpstream(registration)
 			v2, registration := startStreams(t, "v2", false)
-			engines.SetUpstream(registration)
+			if !test.onlyV1 {
+				engines.SetUpstream(registration)
+			}
 			if test.incarnation > 1 {
 				engines.HandleStatus(orders.AdmissionStatus{Engine: "engine-v1", Incarnation: test.incarnation})
 			}
--- a/internal/relay/plain.go
+++ b/internal/relay/plain.go
@@ -60,6 +60,8 @@
 func (e *exchange) tryReplica(id string) bool {
 	locator := e.relay.config.Locator
 	if !locator.AwaitTurn(e.ctx, id) {
+		e.relay.config.Metrics.TurnDeclined(e.service.Name)
+		e.relay.log.Info("replica has no room within its rate limit", "id", e.call.ID, "upstream", id)
 		return false
 	}
 	upstream, ok := locator.Upstream(id, true)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -33,6 +33,12 @@
 	Refusal(service string, identified bool)
 	// ResponsesSkipped counts responses to other requests on a connection.
 	ResponsesSkipped(service string, n int)
+	// TurnDeclined counts a request that has found no room within an upstream's
+	// rate limit.
+	TurnDeclined(service string)
+	// StreamTakenUp counts a stream that a caller takes up, and whether it is known
+	// which software version began it.
+	StreamTakenUp(service string, known bool)
 }
 
 // Origins remembers over all daemons which software version began a stream.
