--- a/internal/relay/origin_test.go
+++ b/internal/relay/origin_test.go
@@ -144,3 +144,36 @@
 		t.Errorf("recorded origins: %v", known)
 	}
 }
+
+// A stream whose events have no identifiers can't go on: sent anew, it would bring its
+// first events twice.
+func TestBrokenStreamWithoutEventIdentifiersIsNotSentAnew(t *testing.T) {
+	r, engines := newTestRelay(t, func(l *locator.Locator, engine string, request locator.AdmissionRequest) bool {
+		l.HandleStatus(orders.AdmissionStatus{Engine: engine, Ticket: request.Ticket, Status: residency.Ready})
+		return true
+	})
+	r.config.Protocol = resumeProtocol{}
+	r.table.Load().Match("gym.example", "/s/").Resumable = true
+	r.table.Load().Match("gym.example", "/s/").MaxAttempts = 3
+	u := startRawUpstream(t, func(u *rawUpstream, w io.Writer, _, _ int, id string) {
+		u.runs.Add(1)
+		fmt.Fprintf(w, "HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: 99\r\n\r\ndata: first\n\n", id)
+		w.(io.Closer).Close()
+	})
+	registration := u.upstream("lm")
+	registration.SoftwareVersion = "v1"
+	engines.SetUpstream(registration)
+	request := httptest.NewRequest(http.MethodPost, "/s/", nil)
+	request.Header.Set("Id", "r1")
+	func() {
+		defer func() {
+			if recover() != http.ErrAbortHandler {
+				t.Error("the broken stream was ended as if complete")
+			}
+		}()
+		r.ServeHTTP(httptest.NewRecorder(), request)
+	}()
+	if n := u.runs.Load(); n != 1 {
+		t.Errorf("the stream was sent %d times", n)
+	}
+}
