relay: only answers to requests that ran end a rate limit

A refusal need not name the limit; an answer that ran must. Nothing else reads the time that changed.

--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -266,7 +266,7 @@
 		result.err = e.checkHead(head, response.StatusCode)
 	}
 	if !head.Misdirected || head.UpstreamID == upstream.ID {
-		if result.err != nil {
+		if result.err != nil || !result.mayHaveRun {
 			sentAt = 0
 		}
 		e.relay.config.Observe(upstream, head.Statement, sentAt, "request "+e.call.ID)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -61,8 +61,8 @@
 	Metrics Metrics
 	Origins Origins
 	// Observe records what an upstream's answer says about later requests. sentAt is
-	// when the request was sent, by clock.Boot, or 0 if the answer may not be the
-	// upstream's own. answer names the answer in the log.
+	// when the request was sent, by clock.Boot, or 0 if the answer is a refusal or may
+	// not be the upstream's own. answer names the answer in the log.
 	Observe func(upstream topology.Upstream, statement topology.Statement, sentAt time.Duration, answer string)
 	Log     *slog.Logger
 }
--- a/internal/relay/resend_test.go
+++ b/internal/relay/resend_test.go
@@ -13,6 +13,7 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/barleylift/barleylift/internal/hop"
 	"github.com/barleylift/barleylift/internal/locator"
@@ -189,6 +190,25 @@
 	}
 }
 
+// The end of a rate limit is learned from answers to requests that ran: a refusal need
+// not name the limit.
+func TestRefusalEndsNoRateLimit(t *testing.T) {
+	u := startRawUpstream(t, func(u *rawUpstream, w io.Writer, conn, _ int, id string) {
+		if conn == 1 {
+			refuse(w, http.StatusServiceUnavailable, id)
+			return
+		}
+		u.run(w, id)
+	})
+	r := newResendRelay(t, u)
+	var sentAt []time.Duration
+	r.config.Observe = func(_ topology.Upstream, _ topology.Statement, at time.Duration, _ string) { sentAt = append(sentAt, at) }
+	sendOnce(t, r, u, "/p/", "r1", http.StatusOK)
+	if len(sentAt) != 2 || sentAt[0] != 0 || sentAt[1] == 0 {
+		t.Errorf("sent at %v, want an unknown time for the refusal and a known one for the answer", sentAt)
+	}
+}
+
 // A refusal without an identifier belongs to any request that its connection
 // has carried.
 func TestUnidentifiedRefusalOnReusedConnectionIsNotBelieved(t *testing.T) {
