--- a/internal/admission/gate.go
+++ b/internal/admission/gate.go
@@ -156,20 +156,19 @@
 // engine's batch. Those that wait for their adapter's load are not counted: they
 // don't delay requests for adapters that the engine holds.
 func (g *Gate) WaitingForBatch(status func(topology.Adapter, int64) residency.Status) int {
-	n := 0
-	for _, w := range g.waiting {
-		if status(w.Adapter, w.Version) == residency.Ready {
-			n++
-		}
-	}
-	return n
+	return g.countWaiting(status, residency.Ready)
 }
 
 // WaitingForLoad returns the number of requests that wait for their adapter's load.
 func (g *Gate) WaitingForLoad(status func(topology.Adapter, int64) residency.Status) int {
+	return g.countWaiting(status, residency.Waiting)
+}
+
+// countWaiting returns the number of waiting requests whose adapter has a status.
+func (g *Gate) countWaiting(status func(topology.Adapter, int64) residency.Status, want residency.Status) int {
 	n := 0
 	for _, w := range g.waiting {
-		if status(w.Adapter, w.Version) == residency.Waiting {
+		if status(w.Adapter, w.Version) == want {
 			n++
 		}
 	}
--- a/internal/locator/locator.go
+++ b/internal/locator/locator.go
@@ -62,18 +62,16 @@
 		return nil, errors.New("locator: SendRequest, SendProgress, SendTurnRequest and Log are required")
 	}
 	return &Locator{
-		config:   config,
-		log:      config.Log.With("part", "locator"),
-		views:    make(map[string]*view),
-		services: make(map[string]map[string]*view),
-		versions: make(map[topology.Adapter]versions),
-
+		config:         config,
+		log:            config.Log.With("part", "locator"),
+		views:          make(map[string]*view),
+		services:       make(map[string]map[string]*view),
+		versions:       make(map[topology.Adapter]versions),
 		versionsSeenAt: make(map[string]map[string]time.Duration),
-
-		waits:      make(map[waitKey]*wait),
-		turns:      make(map[waitKey]chan ratelimit.Grant),
-		admitted:   make(map[waitKey]bool),
-		lastTicket: rand.Uint64(),
+		waits:          make(map[waitKey]*wait),
+		turns:          make(map[waitKey]chan ratelimit.Grant),
+		admitted:       make(map[waitKey]bool),
+		lastTicket:     rand.Uint64(),
 	}, nil
 }
 
@@ -149,10 +147,9 @@
 	Random uint64
 }
 
-// Engines returns the engines for a request, without those of another software
-// version, and without
-// those that are leaving, pause, have no room within their rate limit, lack the base
-// model or were tried before.
+// Engines returns the engines for a request, without those that are leaving, pause,
+// have no room within their rate limit, lack the base model, have another software
+// version or were tried before.
 func (l *Locator) Engines(need Need, tried []string) []steer.Engine {
 	now := clock.Boot()
 	adapter := need.Adapter
--- a/internal/orders/ratelimit_test.go
+++ b/internal/orders/ratelimit_test.go
@@ -61,6 +61,8 @@
 	if !w.limiter.Limited() {
 		t.Error("an answer of another process ended the limit")
 	}
+	// A report may name the later process before its registration does.
+	w.engine.ApplyReport(now, topology.EngineReport{Incarnation: 2})
 	w.update(Assignment{Engine: topology.Upstream{ID: "e", Incarnation: 2, Slots: 64}, Spec: residency.Spec{Capacity: 4, Model: "base"}})
 	if w.limiter.Limited() {
 		t.Error("the limit of an earlier process holds for a later one")
--- a/internal/orders/worker.go
+++ b/internal/orders/worker.go
@@ -106,9 +106,11 @@
 	if a.Engine.Incarnation > w.engine.Incarnation() {
 		w.log.Info("engine restarted, its state is reset", "born", a.Engine.Incarnation)
 		w.pausedUntil = 0
-		w.limiter = ratelimit.Limiter{}
 		w.engine.Reset(a.Engine.Incarnation)
 	}
+	if a.Engine.Incarnation > w.upstream.Incarnation {
+		w.limiter = ratelimit.Limiter{}
+	}
 	if a.Engine.Incarnation >= w.upstream.Incarnation {
 		w.upstream = a.Engine
 	}
--- a/internal/relay/origin_test.go
+++ b/internal/relay/origin_test.go
@@ -111,9 +111,10 @@
 	}
 }
 
-// A stream that breaks off after its first event doesn't go on at another software
-// version within the same answer.
-func TestBrokenStreamDoesNotGoOnAtAnotherSoftwareVersion(t *testing.T) {
+// newStreamRelay returns a relay whose streams may be resumed, before engines that
+// admit every request.
+func newStreamRelay(t *testing.T) (*Relay, *locator.Locator) {
+	t.Helper()
 	r, engines := newTestRelay(t, func(l *locator.Locator, engine string, request locator.AdmissionRequest) bool {
 		l.HandleStatus(orders.AdmissionStatus{Engine: engine, Ticket: request.Ticket, Status: residency.Ready})
 		return true
@@ -121,22 +122,33 @@
 	r.config.Protocol = resumeProtocol{}
 	r.table.Load().Match("gym.example", "/s/").Resumable = true
 	r.table.Load().Match("gym.example", "/s/").MaxAttempts = 3
+	return r, engines
+}
+
+// serveBroken serves a request whose stream must end as broken.
+func serveBroken(t *testing.T, r *Relay) {
+	t.Helper()
+	request := httptest.NewRequest(http.MethodPost, "/s/", nil)
+	request.Header.Set("Id", "r1")
+	defer func() {
+		if recover() != http.ErrAbortHandler {
+			t.Error("the broken stream was ended as if complete")
+		}
+	}()
+	r.ServeHTTP(httptest.NewRecorder(), request)
+}
+
+// A stream that breaks off after its first event doesn't go on at another software
+// version within the same answer.
+func TestBrokenStreamDoesNotGoOnAtAnotherSoftwareVersion(t *testing.T) {
+	r, engines := newStreamRelay(t)
 	known := fixedOrigins{}
 	r.config.Origins = known
 	first, registration := startStreams(t, "v1", true)
 	engines.SetUpstream(registration)
 	second, registration := startStreams(t, "v2", true)
 	engines.SetUpstream(registration)
-	request := httptest.NewRequest(http.MethodPost, "/s/", nil)
-	request.Header.Set("Id", "r1")
-	func() {
-		defer func() {
-			if recover() != http.ErrAbortHandler {
-				t.Error("the broken stream was ended as if complete")
-			}
-		}()
-		r.ServeHTTP(httptest.NewRecorder(), request)
-	}()
+	serveBroken(t, r)
 	if v1, v2 := first.runs.Load(), second.runs.Load(); v1 > 0 && v2 > 0 || v1+v2 < 2 {
 		t.Errorf("%d runs at v1 and %d at v2, want several at one of them", v1, v2)
 	}
@@ -148,13 +160,7 @@
 // A stream whose events have no identifiers can't go on: sent anew, it would bring its
 // first events twice.
 func TestBrokenStreamWithoutEventIdentifiersIsNotSentAnew(t *testing.T) {
-	r, engines := newTestRelay(t, func(l *locator.Locator, engine string, request locator.AdmissionRequest) bool {
-		l.HandleStatus(orders.AdmissionStatus{Engine: engine, Ticket: request.Ticket, Status: residency.Ready})
-		return true
-	})
-	r.config.Protocol = resumeProtocol{}
-	r.table.Load().Match("gym.example", "/s/").Resumable = true
-	r.table.Load().Match("gym.example", "/s/").MaxAttempts = 3
+	r, engines := newStreamRelay(t)
 	u := startRawUpstream(t, func(u *rawUpstream, w io.Writer, _, _ int, id string) {
 		u.runs.Add(1)
 		fmt.Fprintf(w, "HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: 99\r\n\r\ndata: first\n\n", id)
@@ -163,16 +169,7 @@
 	registration := u.upstream("lm")
 	registration.SoftwareVersion = "v1"
 	engines.SetUpstream(registration)
-	request := httptest.NewRequest(http.MethodPost, "/s/", nil)
-	request.Header.Set("Id", "r1")
-	func() {
-		defer func() {
-			if recover() != http.ErrAbortHandler {
-				t.Error("the broken stream was ended as if complete")
-			}
-		}()
-		r.ServeHTTP(httptest.NewRecorder(), request)
-	}()
+	serveBroken(t, r)
 	if n := u.runs.Load(); n != 1 {
 		t.Errorf("the stream was sent %d times", n)
 	}
--- a/internal/relay/resend_test.go
+++ b/internal/relay/resend_test.go
@@ -202,7 +202,9 @@
 	})
 	r := newResendRelay(t, u)
 	var sentAt []time.Duration
-	r.config.Observe = func(_ topology.Upstream, _ topology.Statement, at time.Duration, _ string) { sentAt = append(sentAt, at) }
+	r.config.Observe = func(_ topology.Upstream, _ topology.Statement, at time.Duration, _ string) {
+		sentAt = append(sentAt, at)
+	}
 	sendOnce(t, r, u, "/p/", "r1", http.StatusOK)
 	if len(sentAt) != 2 || sentAt[0] != 0 || sentAt[1] == 0 {
 		t.Errorf("sent at %v, want an unknown time for the refusal and a known one for the answer", sentAt)
