--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -16,15 +16,17 @@
 
 // exchange is one request and its response.
 type exchange struct {
-	relay     *Relay
-	w         http.ResponseWriter
-	request   *http.Request
-	call      *Call
-	table     *routing.Table
-	route     *routing.Route
-	service   *routing.Service
-	body      []byte
-	arrivedAt time.Time
+	relay   *Relay
+	w       http.ResponseWriter
+	request *http.Request
+	call    *Call
+	table   *routing.Table
+	route   *routing.Route
+	service *routing.Service
+	body    []byte
+	// fingerprint is the same for repetitions of the request by its caller.
+	fingerprint quarantine.Fingerprint
+	arrivedAt   time.Time
 	// ctx is done when the caller disconnects or the deadline passes.
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -102,6 +104,7 @@
 	}
 	e := &exchange{
 		relay: relay, w: w, request: request, call: call, table: table, route: route, body: body, arrivedAt: arrived, passedOn: passedOn,
+		fingerprint: quarantine.NewFingerprint(call.Method, call.Host, call.Target, call.Caller, body),
 		deadline:    arrived.Add(min(timeout, route.Timeout)),
 		lastEventID: call.LastEventID,
 	}
--- a/internal/relay/model.go
+++ b/internal/relay/model.go
@@ -307,7 +307,7 @@
 	if e.isCanceledByBlock() {
 		return e.withholdIfBlocked()
 	}
-	e.relay.log.Info("send failed", "id", e.call.ID, "upstream", upstream.ID, "written", result.written, "error", result.err, result.logAttributes(), e.promptAttribute())
+	e.relay.log.Info("send failed", "id", e.call.ID, "upstream", upstream.ID, "written", result.written, "error", result.err, result.logAttributes(), "fingerprint", e.fingerprint.String(), e.promptAttribute())
 	e.relay.config.Locator.RecordFailure(upstream.ID)
 	if result.written {
 		e.recordEngineFailure(upstream, result.begun)
--- a/internal/relay/types.go
+++ b/internal/relay/types.go
@@ -17,6 +17,8 @@
 	Host   string
 	Target string
 	Path   string
+	// Caller identifies who sends the request; empty if it doesn't say.
+	Caller string
 	// Timeout is how long the caller waits for the response; 0 if not stated.
 	Timeout time.Duration
 	// Adapter identifies the model and adapter of a model request; its Model is
