--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -10,102 +10,83 @@
 	"github.com/barleylift/barleylift/internal/topology"
 )
 
-// All daemons know within a round trip which prompt parts engines have crashed on. The
-// daemon whose request an engine had begun to answer tells all others; heartbeats repeat
-// which parts are blocked. A key of the key-value service keeps a block when all daemons
-// end. The first member in a part's rendezvous order, its steward, writes and deletes the
-// key, and lets the one request through that tries the part again.
+// All daemons know within a round trip which prompt parts and which requests engines have
+// crashed on. The daemon whose request an engine had begun to answer reports it to all
+// others; heartbeats repeat what is blocked. A key of the key-value service keeps a block
+// when all daemons end. The first member in a key's rendezvous order, its steward, writes
+// and deletes the service's key, and lets the one request through that tries it again.
 
-// quarantined is what this daemon knows of crashes and blocked prompt parts. It is safe
-// for concurrent use.
+// quarantined is what this daemon knows of crashes and of what is blocked. It is safe for
+// concurrent use.
 type quarantined struct {
 	mu     sync.Mutex // guards the fields below; not held during I/O
 	table  *quarantine.Table
 	probes map[quarantine.Process]*probe
-	// stored holds the modification revisions of the keys of blocked parts.
-	stored map[topology.PromptPart]int64
+	// stored holds the modification revisions of the service's keys of what is blocked.
+	stored map[quarantine.Key]int64
 }
 
 func newQuarantined() *quarantined {
-	return &quarantined{table: quarantine.NewTable(), probes: make(map[quarantine.Process]*probe), stored: make(map[topology.PromptPart]int64)}
+	return &quarantined{table: quarantine.NewTable(), probes: make(map[quarantine.Process]*probe), stored: make(map[quarantine.Key]int64)}
 }
 
-// JudgePrompt implements relay.Quarantine.
-func (g *Gateway) JudgePrompt(prompt []topology.PromptPart) quarantine.Verdict {
-	suspect, ok := quarantine.NewSuspect(prompt, false)
-	if !ok {
-		return quarantine.Verdict{}
-	}
+// Judge implements relay.Quarantine.
+func (g *Gateway) Judge(request quarantine.Request) quarantine.Verdict {
 	q := g.quarantined
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	return q.table.Judge(clock.Boot(), suspect.Parts, g.isSteward)
+	return q.table.Judge(clock.Boot(), request, g.isSteward)
 }
 
 // IsBlocked implements relay.Quarantine.
-func (g *Gateway) IsBlocked(prompt []topology.PromptPart, verdict quarantine.Verdict) (topology.PromptPart, bool) {
-	suspect, ok := quarantine.NewSuspect(prompt, false)
-	if !ok {
-		return 0, false
-	}
+func (g *Gateway) IsBlocked(request quarantine.Request, verdict quarantine.Verdict) (quarantine.Key, bool) {
 	q := g.quarantined
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	return q.table.IsBlocked(suspect.Parts, verdict.Part, verdict.Trial)
+	return q.table.IsBlocked(request, verdict)
 }
 
 // EngineAnswers implements relay.Quarantine.
-func (g *Gateway) EngineAnswers(id string, prompt []topology.PromptPart, ago time.Duration) {
-	suspect, ok := quarantine.NewSuspect(prompt, true)
-	if !ok {
-		return
-	}
+func (g *Gateway) EngineAnswers(id string, request quarantine.Request, ago time.Duration) {
 	now := clock.Boot()
 	q := g.quarantined
 	q.mu.Lock()
-	unblocked := q.table.RecordAnswer(now, now-ago, suspect.Parts)
+	unblocked := q.table.RecordAnswer(now, now-ago, request.Keys())
 	q.mu.Unlock()
 	g.logUnblocked(unblocked, "request "+id)
 }
 
 // EngineFailed implements relay.Quarantine.
-func (g *Gateway) EngineFailed(ctx context.Context, id string, upstream topology.Upstream, prompt []topology.PromptPart, begun bool) (ended bool) {
-	suspect, ok := quarantine.NewSuspect(prompt, begun)
-	if !ok {
-		return false
-	}
-	at := clock.Boot()
+func (g *Gateway) EngineFailed(ctx context.Context, id string, upstream topology.Upstream, failure quarantine.Failure) (ended bool) {
 	if !g.hasEnded(ctx, upstream) {
 		return false
 	}
-	crash := quarantine.Crash{Process: quarantine.Process{ID: upstream.ID, Incarnation: upstream.Incarnation}, At: at}
-	suspect.Parts = g.unansweredParts(at, suspect.Parts)
-	g.log.Info("engine ended under a request", "id", id, "upstream", upstream.ID, "born", upstream.Incarnation, "begun", begun, "suspected_parts", len(suspect.Parts))
-	if begun {
+	suspect, suspected := g.uncleared(failure)
+	g.log.Info("engine ended under a request", "id", id, "upstream", upstream.ID, "born", upstream.Incarnation, "begun", failure.Begun,
+		"held_ms", suspect.HeldFor.Milliseconds(), "fingerprint", failure.Request.Fingerprint.String(), "suspected", suspect.Request != 0, "suspected_parts", len(suspect.Parts))
+	if failure.Begun {
 		g.options.Meters.EngineCrash(upstream.Service)
 	}
-	if len(suspect.Parts) == 0 {
+	if !suspected {
 		return true
 	}
-	crash.Suspects = []quarantine.Suspect{suspect}
+	crash := quarantine.Crash{
+		Process: quarantine.Process{ID: upstream.ID, Incarnation: upstream.Incarnation}, At: failure.At, Suspects: []quarantine.Suspect{suspect},
+	}
 	g.recordCrash(crash, "request "+id)
 	go g.reportCrash(crash)
 	return true
 }
 
-// unansweredParts returns the parts of a prompt that no answer of the last moment clears
-// of a crash at a time.
-func (g *Gateway) unansweredParts(at time.Duration, parts []topology.PromptPart) []topology.PromptPart {
+// uncleared returns the suspect that a request is at the end of an engine's process. Others
+// don't know which answers of the last moment clear it.
+func (g *Gateway) uncleared(failure quarantine.Failure) (suspect quarantine.Suspect, suspected bool) {
 	q := g.quarantined
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	var suspected []topology.PromptPart
-	for _, part := range parts {
-		if !q.table.RecentlyAnswered(at, part) && len(suspected) < maxReportedParts {
-			suspected = append(suspected, part)
-		}
-	}
-	return suspected
+	suspect, suspected = q.table.Uncleared(failure.At, failure.Suspect())
+	suspect.Parts = suspect.Parts[:min(len(suspect.Parts), maxReportedParts)]
+	return suspect, suspected
 }
 
 // recordCrash adds a crash to the table.
@@ -114,40 +95,42 @@
 	q.mu.Lock()
 	changes := q.table.RecordCrash(clock.Boot(), crash)
 	q.mu.Unlock()
-	for _, part := range changes.Blocked {
-		g.logBlocked(part, source)
+	for _, key := range changes.Blocked {
+		g.logBlocked(key, source)
 	}
-	for _, part := range changes.Unblocked {
-		g.log.Info("crashes under a prompt part are explained by another one", "prompt_part", part.String(), "source", source)
+	for _, key := range changes.Unblocked {
+		g.log.Info("crashes are explained by another cause", "cause", key.String(), "source", source)
 	}
 }
 
-func (g *Gateway) logBlocked(part topology.PromptPart, source string) {
-	g.options.Meters.PartBlocked()
-	g.log.Warn("engines crash on a prompt part, its requests reach no engine any more", "prompt_part", part.String(), "source", source)
-	g.relay.WithholdPart(part)
+func (g *Gateway) logBlocked(key quarantine.Key, source string) {
+	g.options.Meters.CrashCauseBlocked(key.Kind.String())
+	g.log.Warn("engines crash again and again, requests with the cause reach no engine any more", "cause", key.String(), "source", source)
+	g.relay.Withhold(key)
 }
 
-func (g *Gateway) logUnblocked(parts []topology.PromptPart, source string) {
-	for _, part := range parts {
-		g.log.Info("engines answer requests with a prompt part again", "prompt_part", part.String(), "source", source)
+func (g *Gateway) logUnblocked(keys []quarantine.Key, source string) {
+	for _, key := range keys {
+		g.log.Info("engines answer requests with a blocked cause of crashes again", "cause", key.String(), "source", source)
 	}
 }
 
-// isSteward reports whether this daemon is the steward of a part.
-func (g *Gateway) isSteward(part topology.PromptPart) bool {
-	name, _, ok := g.firstMember(quarantinePrefix + part.String())
+// isSteward reports whether this daemon is the steward of a key.
+func (g *Gateway) isSteward(key quarantine.Key) bool {
+	name, _, ok := g.firstMember(storeKey(key))
 	return ok && name == g.settings.Load().VM
 }
 
-// blockedParts lists the blocked prompt parts, for the status page.
-func (g *Gateway) blockedParts() []string {
+// blocked lists the identifiers of the blocked keys of a kind, for the status page.
+func (g *Gateway) blocked(kind quarantine.Kind) []string {
 	q := g.quarantined
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	parts := []string{}
+	ids := []string{}
 	for _, b := range q.table.Blocks() {
-		parts = append(parts, b.Part.String())
+		if b.Key.Kind == kind {
+			ids = append(ids, b.Key.IDString())
+		}
 	}
-	return parts
+	return ids
 }
--- a/internal/gateway/quarantine_keys.go
+++ b/internal/gateway/quarantine_keys.go
@@ -9,46 +9,66 @@
 	"github.com/barleylift/barleylift/internal/clock"
 	"github.com/barleylift/barleylift/internal/infra"
 	"github.com/barleylift/barleylift/internal/mirror"
-	"github.com/barleylift/barleylift/internal/topology"
+	"github.com/barleylift/barleylift/internal/quarantine"
 )
 
 const (
-	// quarantinePrefix is the prefix of the keys of blocked parts.
-	quarantinePrefix = keyPrefix + "quarantine/"
-	// storeTimeout bounds the write of a key of a blocked part.
+	// quarantinePrefix and requestQuarantinePrefix are the prefixes of the keys of blocked
+	// prompt parts and requests.
+	quarantinePrefix        = keyPrefix + "quarantine/"
+	requestQuarantinePrefix = keyPrefix + "quarantined-requests/"
+	// storeTimeout bounds the write of such a key.
 	storeTimeout = time.Second
 )
 
-// applyQuarantineKey applies a change of the key of a blocked part. A deletion ends no
-// block: the service may have come back from an older copy.
-func (g *Gateway) applyQuarantineKey(change mirror.Change) {
-	text, ok := strings.CutPrefix(change.Entry.Key, quarantinePrefix)
+// storeKey returns the service's key of what is blocked.
+func storeKey(key quarantine.Key) string {
+	if key.Kind == quarantine.WholeRequest {
+		return requestQuarantinePrefix + key.IDString()
+	}
+	return quarantinePrefix + key.IDString()
+}
+
+// parseStoreKey returns what a key of the service blocks, and false if it is another key.
+func parseStoreKey(text string) (key quarantine.Key, ok bool, err error) {
+	id, ok := strings.CutPrefix(text, quarantinePrefix)
 	if !ok {
-		return
+		if id, ok = strings.CutPrefix(text, requestQuarantinePrefix); !ok {
+			return key, false, nil
+		}
+		key.Kind = quarantine.WholeRequest
 	}
-	id, err := strconv.ParseUint(text, 16, 64)
+	key.ID, err = strconv.ParseUint(id, 16, 64)
+	return key, true, err
+}
+
+// applyQuarantineKey applies a change of the service's key of what is blocked. A deletion
+// ends no block: the service may have come back from an older copy.
+func (g *Gateway) applyQuarantineKey(change mirror.Change) {
+	key, ok, err := parseStoreKey(change.Entry.Key)
 	if err != nil {
-		g.log.Warn("invalid key of a blocked prompt part ignored", "key", change.Entry.Key, "error", err)
+		g.log.Warn("invalid key of a blocked cause of crashes ignored", "key", change.Entry.Key, "error", err)
+	}
+	if !ok || err != nil {
 		return
 	}
-	part := topology.PromptPart(id)
 	now := clock.Boot()
 	q := g.quarantined
 	q.mu.Lock()
 	isNew := false
 	if change.Deleted {
-		delete(q.stored, part)
+		delete(q.stored, key)
 	} else {
-		q.stored[part] = change.Entry.ModRevision
-		isNew = q.table.Block(now, now, part)
+		q.stored[key] = change.Entry.ModRevision
+		isNew = q.table.Block(now, now, key)
 	}
 	q.mu.Unlock()
 	if isNew {
-		g.logBlocked(part, "key-value service")
+		g.logBlocked(key, "key-value service")
 	}
 }
 
-// storeQuarantine writes the keys of the blocked parts of which this daemon is the
+// storeQuarantine writes the service's keys of the blocks of which this daemon is the
 // steward, and deletes those of others.
 func (g *Gateway) storeQuarantine(ctx context.Context) {
 	if g.storeDisconnected() || !g.firstReadApplied.Load() {
@@ -57,7 +77,7 @@
 	for _, txn := range g.quarantineWrites() {
 		callCtx, cancel := context.WithTimeout(ctx, storeTimeout)
 		if _, err := g.platform.Store().Txn(callCtx, txn); err != nil {
-			g.log.Warn("key of a blocked prompt part not updated, retrying", "error", err)
+			g.log.Warn("key of a blocked cause of crashes not updated, retrying", "error", err)
 		}
 		cancel()
 	}
@@ -67,16 +87,16 @@
 	q := g.quarantined
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	blocked := make(map[topology.PromptPart]bool)
+	blocked := make(map[quarantine.Key]bool)
 	for _, b := range q.table.Blocks() {
-		blocked[b.Part] = true
-		if key := quarantinePrefix + b.Part.String(); q.stored[b.Part] == 0 && g.isSteward(b.Part) {
+		blocked[b.Key] = true
+		if key := storeKey(b.Key); q.stored[b.Key] == 0 && g.isSteward(b.Key) {
 			txns = append(txns, infra.Txn{If: []infra.Compare{infra.Absent(key)}, Then: []infra.Op{infra.Put(key, nil)}})
 		}
 	}
-	for part, revision := range q.stored {
-		if key := quarantinePrefix + part.String(); !blocked[part] && g.isSteward(part) {
-			txns = append(txns, infra.Txn{If: []infra.Compare{infra.ModifiedAt(key, revision)}, Then: []infra.Op{infra.Delete(key)}})
+	for key, revision := range q.stored {
+		if name := storeKey(key); !blocked[key] && g.isSteward(key) {
+			txns = append(txns, infra.Txn{If: []infra.Compare{infra.ModifiedAt(name, revision)}, Then: []infra.Op{infra.Delete(name)}})
 		}
 	}
 	return txns
--- a/internal/gateway/quarantine_spread.go
+++ b/internal/gateway/quarantine_spread.go
@@ -14,10 +14,10 @@
 	// datagrams may be lost, and crashReportInterval the time between.
 	crashReportSends    = 3
 	crashReportInterval = 150 * time.Millisecond
-	// maxReportedParts bounds the parts of one suspect in a datagram, and maxSpreadParts
-	// each list of parts in a heartbeat.
+	// maxReportedParts bounds the parts of one suspect in a datagram, and maxSpread
+	// each list of parts or requests in a heartbeat.
 	maxReportedParts = 128
-	maxSpreadParts   = 16
+	maxSpread        = 16
 	// answeredSpreadPeriod is how long heartbeats name a part that has been answered.
 	answeredSpreadPeriod = 15 * time.Second
 )
@@ -33,8 +33,7 @@
 	}
 }
 
-// spreadQuarantine adds to a heartbeat which parts are blocked, and which ones engines
-// answer.
+// spreadQuarantine adds to a heartbeat what is blocked, and what engines answer of it.
 func (g *Gateway) spreadQuarantine(heartbeat *mesh.Heartbeat) {
 	now := clock.Boot()
 	q := g.quarantined
@@ -42,36 +41,60 @@
 	blocks := q.table.Blocks()
 	answered := q.table.AnsweredSuspects(now - answeredSpreadPeriod)
 	q.mu.Unlock()
-	for _, b := range blocks[:min(len(blocks), maxSpreadParts)] {
-		heartbeat.BlockedParts = append(heartbeat.BlockedParts, mesh.PartAge{Part: uint64(b.Part), Age: (now - b.Since).Milliseconds()})
+	for _, b := range blocks {
+		addAge(&heartbeat.BlockedParts, &heartbeat.BlockedRequests, b.Key, now-b.Since)
 	}
-	for _, a := range answered[:min(len(answered), maxSpreadParts)] {
-		heartbeat.AnsweredParts = append(heartbeat.AnsweredParts, mesh.PartAge{Part: uint64(a.Part), Age: (now - a.At).Milliseconds()})
+	for _, a := range answered {
+		addAge(&heartbeat.AnsweredParts, &heartbeat.AnsweredRequests, a.Key, now-a.At)
 	}
 }
 
-// applyQuarantine applies what another daemon's heartbeat says about prompt parts.
+// addAge adds a key and its age to the list of its kind, unless that is full.
+func addAge(parts *[]mesh.PartAge, requests *[]mesh.RequestAge, key quarantine.Key, age time.Duration) {
+	switch {
+	case key.Kind == quarantine.WholeRequest && len(*requests) < maxSpread:
+		*requests = append(*requests, mesh.RequestAge{Fingerprint: key.ID, Age: age.Milliseconds()})
+	case key.Kind == quarantine.PromptPart && len(*parts) < maxSpread:
+		*parts = append(*parts, mesh.PartAge{Part: key.ID, Age: age.Milliseconds()})
+	}
+}
+
+// agesOf returns the keys of two lists with the times at which something became known of
+// them.
+func agesOf(now time.Duration, parts []mesh.PartAge, requests []mesh.RequestAge) map[quarantine.Key]time.Duration {
+	at := make(map[quarantine.Key]time.Duration, len(parts)+len(requests))
+	for _, p := range parts {
+		at[quarantine.PartKey(topology.PromptPart(p.Part))] = now - time.Duration(p.Age)*time.Millisecond
+	}
+	for _, r := range requests {
+		at[quarantine.RequestKey(quarantine.Fingerprint(r.Fingerprint))] = now - time.Duration(r.Age)*time.Millisecond
+	}
+	return at
+}
+
+// applyQuarantine applies what another daemon's heartbeat says about causes of crashes.
 func (g *Gateway) applyQuarantine(from string, heartbeat *mesh.Heartbeat) {
-	if len(heartbeat.BlockedParts)+len(heartbeat.AnsweredParts) == 0 {
+	now := clock.Boot()
+	answered := agesOf(now, heartbeat.AnsweredParts, heartbeat.AnsweredRequests)
+	others := agesOf(now, heartbeat.BlockedParts, heartbeat.BlockedRequests)
+	if len(answered)+len(others) == 0 {
 		return
 	}
-	now := clock.Boot()
 	q := g.quarantined
-	var blocked, unblocked []topology.PromptPart
+	var blocked, unblocked []quarantine.Key
 	q.mu.Lock()
-	for _, a := range heartbeat.AnsweredParts {
-		at := now - time.Duration(a.Age)*time.Millisecond
-		unblocked = append(unblocked, q.table.RecordAnswer(now, at, []topology.PromptPart{topology.PromptPart(a.Part)})...)
+	for key, at := range answered {
+		unblocked = append(unblocked, q.table.RecordAnswer(now, at, []quarantine.Key{key})...)
 	}
-	for _, b := range heartbeat.BlockedParts {
-		if part := topology.PromptPart(b.Part); q.table.Block(now, now-time.Duration(b.Age)*time.Millisecond, part) {
-			blocked = append(blocked, part)
+	for key, since := range others {
+		if q.table.Block(now, since, key) {
+			blocked = append(blocked, key)
 		}
 	}
 	q.mu.Unlock()
 	g.logUnblocked(unblocked, "heartbeat of "+from)
-	for _, part := range blocked {
-		g.logBlocked(part, "heartbeat of "+from)
+	for _, key := range blocked {
+		g.logBlocked(key, "heartbeat of "+from)
 	}
 }
 
@@ -80,6 +103,12 @@
 		Engine: crash.Process.ID, Incarnation: crash.Process.Incarnation, Age: (clock.Boot() - crash.At).Milliseconds(),
 	}
 	for _, suspect := range crash.Suspects {
+		if suspect.Request != 0 {
+			message.Requests = append(message.Requests, mesh.CrashRequest{Fingerprint: uint64(suspect.Request), HeldFor: suspect.HeldFor.Milliseconds()})
+		}
+		if len(suspect.Parts) == 0 {
+			continue
+		}
 		m := mesh.CrashSuspect{Source: uint64(suspect.Source), Begun: suspect.Begun}
 		for _, part := range suspect.Parts {
 			m.Parts = append(m.Parts, uint64(part))
@@ -101,5 +130,10 @@
 		}
 		crash.Suspects = append(crash.Suspects, suspect)
 	}
+	for _, m := range message.Requests {
+		crash.Suspects = append(crash.Suspects, quarantine.Suspect{
+			Request: quarantine.Fingerprint(m.Fingerprint), HeldFor: time.Duration(m.HeldFor) * time.Millisecond,
+		})
+	}
 	return crash
 }
--- a/internal/gateway/servers.go
+++ b/internal/gateway/servers.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/barleylift/barleylift/internal/hop"
+	"github.com/barleylift/barleylift/internal/quarantine"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 )
 
@@ -116,21 +117,24 @@
 	RateLimits map[string]float64 `json:"rate_limits"`
 	// BlockedParts lists the prompt parts whose requests reach no engine.
 	BlockedParts []string `json:"blocked_prompt_parts"`
+	// BlockedRequests lists the fingerprints of requests that reach no engine.
+	BlockedRequests []string `json:"blocked_requests"`
 }
 
 func (g *Gateway) serveStatus(w http.ResponseWriter, _ *http.Request) {
 	message := statusMessage{
-		VM:            g.settings.Load().VM,
-		Incarnation:   g.incarnation,
-		StoreRevision: g.mirror.Revision(),
-		StoreDown:     g.storeDown.Load(),
-		Draining:      g.draining.Load(),
-		CutOff:        g.CutOff(),
-		InFlight:      g.relay.InFlight(),
-		Engines:       g.keeper.OwnedEngines(),
-		Leaving:       g.leavingByStatement(),
-		RateLimits:    g.locator.RateLimits(),
-		BlockedParts:  g.blockedParts(),
+		VM:              g.settings.Load().VM,
+		Incarnation:     g.incarnation,
+		StoreRevision:   g.mirror.Revision(),
+		StoreDown:       g.storeDown.Load(),
+		Draining:        g.draining.Load(),
+		CutOff:          g.CutOff(),
+		InFlight:        g.relay.InFlight(),
+		Engines:         g.keeper.OwnedEngines(),
+		Leaving:         g.leavingByStatement(),
+		RateLimits:      g.locator.RateLimits(),
+		BlockedParts:    g.blocked(quarantine.PromptPart),
+		BlockedRequests: g.blocked(quarantine.WholeRequest),
 	}
 	if table := g.relay.Table(); table != nil {
 		message.Version = table.Version()
--- a/internal/mesh/packet.go
+++ b/internal/mesh/packet.go
@@ -53,6 +53,16 @@
 	Incarnation int64          `cbor:"2,keyasint,omitempty"`
 	Age         int64          `cbor:"3,keyasint,omitempty"`
 	Suspects    []CrashSuspect `cbor:"4,keyasint"`
+	// Requests lists the requests themselves, by their fingerprints. A daemon that doesn't
+	// know of these reads Suspects alone.
+	Requests []CrashRequest `cbor:"5,keyasint,omitempty"`
+}
+
+// CrashRequest is a request by its fingerprint. The engine had it for HeldFor, in
+// milliseconds.
+type CrashRequest struct {
+	Fingerprint uint64 `cbor:"1,keyasint"`
+	HeldFor     int64  `cbor:"2,keyasint,omitempty"`
 }
 
 // CrashSuspect is a request by the parts of its prompt. Source is the last part. Begun
@@ -72,6 +82,13 @@
 	Age  int64
 }
 
+// RequestAge is a request by its fingerprint, and how long ago something became known of
+// it, in milliseconds.
+type RequestAge struct {
+	Fingerprint uint64 `cbor:"1,keyasint"`
+	Age         int64  `cbor:"2,keyasint,omitempty"`
+}
+
 // Origin says which software version began the stream of a caller's request. The
 // receiver keeps it for TTL seconds.
 type Origin struct {
@@ -172,6 +189,9 @@
 	// and gone on.
 	BlockedParts  []PartAge `cbor:"10,keyasint,omitempty"`
 	AnsweredParts []PartAge `cbor:"11,keyasint,omitempty"`
+	// BlockedRequests and AnsweredRequests are the same for whole requests.
+	BlockedRequests  []RequestAge `cbor:"13,keyasint,omitempty"`
+	AnsweredRequests []RequestAge `cbor:"14,keyasint,omitempty"`
 	// Uses lists the sender's use of engines that the receiver owns.
 	Uses []EngineUse `cbor:"3,keyasint,omitempty"`
 	// States lists the states of engines that the sender owns.
--- a/internal/metrics/gateway.go
+++ b/internal/metrics/gateway.go
@@ -22,7 +22,7 @@
 	statements    *prometheus.CounterVec
 	engineCrashes *prometheus.CounterVec
 	withheld      *prometheus.CounterVec
-	blockedParts  prometheus.Counter
+	blockedCauses *prometheus.CounterVec
 	engineOrders  *prometheus.CounterVec
 	engineReports *prometheus.CounterVec
 	kvCalls       *prometheus.CounterVec
@@ -48,11 +48,9 @@
 		takenUp:       counter("streams_taken_up_total", "Streams that callers take up, by service and whether it is known which software version began them.", "service", "known"),
 		statements:    counter("upstream_statements_total", "Statements about later requests in upstreams' answers, by kind.", "kind"),
 		engineCrashes: counter("engine_crashes_total", "Requests that an engine had begun to answer when its process ended, by service.", "service"),
-		withheld:      counter("withheld_requests_total", "Requests withheld from engines that crash on a part of their prompts, by service.", "service"),
-		blockedParts: prometheus.NewCounter(prometheus.CounterOpts{
-			Namespace: namespace, Name: "prompt_parts_blocked_total", Help: "Prompt parts that were blocked as engines crash on them.",
-		}),
-		passedOn: counter("passed_on_requests_total", "Requests passed on to another VM that reaches upstreams, by service.", "service"),
+		withheld:      counter("withheld_requests_total", "Requests withheld from engines that crash on them or on a part of their prompts, by service.", "service"),
+		blockedCauses: counter("crash_causes_blocked_total", "Prompt parts and requests that were blocked as engines crash on them, by kind.", "kind"),
+		passedOn:      counter("passed_on_requests_total", "Requests passed on to another VM that reaches upstreams, by service.", "service"),
 		cutOff: prometheus.NewGauge(prometheus.GaugeOpts{
 			Namespace: namespace, Name: "cut_off", Help: "1 while this VM reaches no upstream.",
 		}),
@@ -68,7 +66,7 @@
 			Namespace: namespace, Name: "routing_version", Help: "Configuration version in force.",
 		}),
 	}
-	registerer.MustRegister(g.requests, g.duration, g.firstEvent, g.loadWait, g.repeatedSends, g.refusals, g.skipped, g.turnsDeclined, g.takenUp, g.statements, g.engineCrashes, g.withheld, g.blockedParts, g.passedOn, g.cutOff, g.engineOrders, g.engineReports, g.kvCalls, g.meshBytes, g.checkpoints, g.version, g.storeEra)
+	registerer.MustRegister(g.requests, g.duration, g.firstEvent, g.loadWait, g.repeatedSends, g.refusals, g.skipped, g.turnsDeclined, g.takenUp, g.statements, g.engineCrashes, g.withheld, g.blockedCauses, g.passedOn, g.cutOff, g.engineOrders, g.engineReports, g.kvCalls, g.meshBytes, g.checkpoints, g.version, g.storeEra)
 	return g
 }
 
@@ -126,14 +124,15 @@
 	g.engineCrashes.WithLabelValues(service).Inc()
 }
 
-// RequestWithheld counts a request that no engine gets because of its prompt.
+// RequestWithheld counts a request that no engine gets because engines crash on it or on a
+// part of its prompt.
 func (g *Gateway) RequestWithheld(service string) {
 	g.withheld.WithLabelValues(service).Inc()
 }
 
-// PartBlocked counts a prompt part that this daemon blocks.
-func (g *Gateway) PartBlocked() {
-	g.blockedParts.Inc()
+// CrashCauseBlocked counts a prompt part or a request that this daemon blocks, by kind.
+func (g *Gateway) CrashCauseBlocked(kind string) {
+	g.blockedCauses.WithLabelValues(kind).Inc()
 }
 
 // RequestPassedOn counts a request that is passed on to another VM.
--- a/internal/quarantine/block.go
+++ b/internal/quarantine/block.go
@@ -5,13 +5,12 @@
 	"maps"
 	"slices"
 	"time"
-
-	"github.com/barleylift/barleylift/internal/topology"
 )
 
 const (
 	// trialInterval is the time after which one request of the fleet may show that
-	// engines no longer crash on a part. If they do, that ends an engine.
+	// engines no longer crash on a key. If they do, that ends an engine. Of a request it
+	// doubles with each such trial: users allow three in all.
 	trialInterval = 10 * time.Minute
 	// commonTrialInterval is the same for a part of most requests: before any of them was
 	// answered, a crash under a few looks like one under what all share. It doubles with
@@ -19,52 +18,88 @@
 	commonTrialInterval = 2 * time.Second
 	// minCommonRefusals is the number of refusals that tell a part of most requests.
 	minCommonRefusals = 8
+	// ambiguousTrialInterval is the time until the first trial of a request that was at
+	// the same engines as others, which tells them apart; engines that have crashed are
+	// back by then. earlyTrialInterval is that of one that was alone, but at few engines.
+	ambiguousTrialInterval = 5 * time.Second
+	earlyTrialInterval     = time.Minute
+	// maxDoublings bounds the doubling of intervals.
+	maxDoublings = 16
 )
 
-// block is a part that no engine gets.
+// block is a key that no engine gets.
 type block struct {
 	// since is the time of the last crash that counted against it.
 	since time.Duration
 	// triedAt is when a request was last let through, or an engine last crashed on the
-	// part.
+	// key.
 	triedAt time.Duration
-	// refused counts the requests refused because of the part, and passed those without
-	// a blocked part in the same time.
+	// isAmbiguous is set if the evidence speaks against others too, and isEarly if it is
+	// only enough as it doesn't.
+	isAmbiguous, isEarly bool
+	// refused counts the requests refused because of the key, and passed those without
+	// a blocked key in the same time.
 	refused, passed int
-	// isTried is set while a request of this daemon tries the part, and failedTrials
+	// isTried is set while a request of this daemon tries the key, and failedTrials
 	// counts the trials that have ended an engine.
 	isTried      bool
 	failedTrials int
 }
 
-func (b *block) trialDue(now time.Duration) bool {
-	interval := trialInterval
-	if b.refused >= minCommonRefusals && b.refused > b.passed {
-		interval = min(commonTrialInterval<<min(b.failedTrials, 16), trialInterval)
+func (b *block) trialDue(now time.Duration, kind Kind) bool {
+	return now-b.triedAt >= b.trialInterval(kind)
+}
+
+func (b *block) trialInterval(kind Kind) time.Duration {
+	doublings := min(b.failedTrials, maxDoublings)
+	switch {
+	case kind == WholeRequest && b.isAmbiguous && b.failedTrials == 0:
+		return ambiguousTrialInterval
+	case kind == WholeRequest && b.isEarly && b.failedTrials == 0:
+		return earlyTrialInterval
+	case kind == WholeRequest:
+		return trialInterval << doublings
+	case b.refused >= minCommonRefusals && b.refused > b.passed:
+		return min(commonTrialInterval<<doublings, trialInterval)
+	default:
+		return trialInterval
 	}
-	return now-b.triedAt >= interval
+}
+
+// addBlock adds a block. If there are too many, it replaces the one with the oldest crash.
+func (t *Table) addBlock(key Key, b *block) {
+	if len(t.blocks) >= maxBlocks {
+		oldest := key
+		for other, o := range t.blocks {
+			if oldest == key || o.since < t.blocks[oldest].since {
+				oldest = other
+			}
+		}
+		delete(t.blocks, oldest)
+	}
+	t.blocks[key] = b
 }
 
 // Verdict says whether a request may reach an engine.
 type Verdict struct {
-	// Blocked is set if it may not, because of Part.
+	// Blocked is set if it may not, because of Key.
 	Blocked bool
-	// Trial is set if it may, to show whether engines still crash on Part.
+	// Trial is set if it may, to show whether engines still crash on Key.
 	Trial bool
-	Part  topology.PromptPart
+	Key   Key
 }
 
-// Judge decides on a new request by the parts of its prompt that others share. mayTry
-// reports whether this daemon is the one that tries a part again.
-func (t *Table) Judge(now time.Duration, parts []topology.PromptPart, mayTry func(topology.PromptPart) bool) Verdict {
+// Judge decides on a new request. mayTry reports whether this daemon is the one that
+// tries a key again.
+func (t *Table) Judge(now time.Duration, request Request, mayTry func(Key) bool) Verdict {
 	t.sweep(now)
 	if len(t.blocks) == 0 {
 		return Verdict{}
 	}
-	var found []topology.PromptPart
-	for _, part := range parts {
-		if t.blocks[part] != nil && !slices.Contains(found, part) {
-			found = append(found, part)
+	var found []Key
+	for _, key := range request.Keys() {
+		if t.blocks[key] != nil && !slices.Contains(found, key) {
+			found = append(found, key)
 		}
 	}
 	if len(found) == 0 {
@@ -74,104 +109,109 @@
 		return Verdict{}
 	}
 	first := t.blocks[found[0]]
-	if len(found) == 1 && first.trialDue(now) && mayTry(found[0]) {
+	if len(found) == 1 && first.trialDue(now, found[0].Kind) && mayTry(found[0]) {
 		first.triedAt, first.isTried = now, true
-		return Verdict{Trial: true, Part: found[0]}
+		return Verdict{Trial: true, Key: found[0]}
 	}
-	for _, part := range found {
-		t.blocks[part].refused++
+	for _, key := range found {
+		t.blocks[key].refused++
 	}
-	return Verdict{Blocked: true, Part: found[0]}
+	return Verdict{Blocked: true, Key: found[0]}
 }
 
-// IsBlocked returns a part of a prompt that is blocked, other than the one that the
-// request tries; false if there is none.
-func (t *Table) IsBlocked(parts []topology.PromptPart, tried topology.PromptPart, isTrial bool) (topology.PromptPart, bool) {
-	for _, part := range parts {
-		if t.blocks[part] != nil && !(isTrial && part == tried) {
-			return part, true
+// IsBlocked returns a blocked key of a request, other than the one that the request tries;
+// false if there is none.
+func (t *Table) IsBlocked(request Request, verdict Verdict) (Key, bool) {
+	if len(t.blocks) == 0 {
+		return Key{}, false
+	}
+	for _, key := range request.Keys() {
+		if t.blocks[key] != nil && !(verdict.Trial && key == verdict.Key) {
+			return key, true
 		}
 	}
-	return 0, false
+	return Key{}, false
 }
 
 // recordCrashOfBlocked starts the time until the next trial anew.
-func (t *Table) recordCrashOfBlocked(now time.Duration, suspect Suspect) {
+func (t *Table) recordCrashOfBlocked(now, crashAt time.Duration, suspect Suspect) {
 	for _, part := range suspect.Parts {
-		b := t.blocks[part]
-		if b == nil || !suspect.Begun {
-			continue
-		}
-		b.triedAt = now
-		if b.isTried {
-			b.isTried = false
-			b.failedTrials++
+		if b := t.blocks[PartKey(part)]; b != nil && suspect.Begun {
+			b.recordCrash(now)
 		}
 	}
+	if b := t.blocks[RequestKey(suspect.Request)]; b != nil {
+		b.since = max(b.since, crashAt)
+		b.recordCrash(now)
+	}
 }
 
-// Block adds a block that another daemon knows since a time, and reports whether it is
-// new. An answer on the part since then is stronger.
-func (t *Table) Block(now, since time.Duration, part topology.PromptPart) bool {
-	isOutdated := t.answeredAt[part] > since || t.unblockedAt[part] > since || now-since > blockTTL
-	if isOutdated || t.blocks[part] != nil {
-		return false
+func (b *block) recordCrash(now time.Duration) {
+	b.triedAt = now
+	if b.isTried {
+		b.isTried = false
+		b.failedTrials++
 	}
-	t.blocks[part] = &block{since: since, triedAt: now}
-	return true
 }
 
-// Unblock ends a block that is older than a time.
-func (t *Table) Unblock(before time.Duration, part topology.PromptPart) bool {
-	b := t.blocks[part]
-	if b == nil || b.since > before {
+// Block adds a block that another daemon knows since a time, and reports whether it is
+// new. An answer on the key since then is stronger, and so is one between its crashes.
+func (t *Table) Block(now, since time.Duration, key Key) bool {
+	isOutdated := t.answeredAt[key] > since || t.unblockedAt[key] > since || now-since > blockTTL
+	if isOutdated || t.blocks[key] != nil || t.isRefuted(key) {
 		return false
 	}
-	delete(t.blocks, part)
-	t.unblockedAt[part] = before
+	t.addBlock(key, &block{since: since, triedAt: now})
 	return true
 }
 
-// Blocked is a blocked part.
+// Blocked is a blocked key.
 type Blocked struct {
-	Part  topology.PromptPart
+	Key   Key
 	Since time.Duration
 }
 
-// Blocks returns the blocked parts, the latest first.
+// Blocks returns the blocked keys, the latest first.
 func (t *Table) Blocks() []Blocked {
 	blocks := make([]Blocked, 0, len(t.blocks))
-	for part, b := range t.blocks {
-		blocks = append(blocks, Blocked{part, b.since})
+	for key, b := range t.blocks {
+		blocks = append(blocks, Blocked{key, b.since})
 	}
-	slices.SortFunc(blocks, func(a, b Blocked) int { return cmp.Or(cmp.Compare(b.Since, a.Since), cmp.Compare(a.Part, b.Part)) })
+	slices.SortFunc(blocks, func(a, b Blocked) int { return cmp.Or(cmp.Compare(b.Since, a.Since), compareKeys(a.Key, b.Key)) })
 	return blocks
 }
 
-// Answered is a part on which an engine began an answer and went on.
+// Answered is a key on which an engine began an answer and went on.
 type Answered struct {
-	Part topology.PromptPart
-	At   time.Duration
+	Key Key
+	At  time.Duration
 }
 
-// AnsweredSuspects returns the suspected and formerly blocked parts on which engines
+// minSpreadCrashes is the number of crashes from which others must know that a request
+// was answered. Fewer block none, and most requests at an engine that ends are answered
+// elsewhere at once.
+const minSpreadCrashes = 2
+
+// AnsweredSuspects returns the suspected and formerly blocked keys on which engines
 // have begun an answer after a time, the latest first. Other daemons may still suspect
 // them.
 func (t *Table) AnsweredSuspects(after time.Duration) []Answered {
 	latest := maps.Clone(t.unblockedAt)
+	crashes := make(map[Key]int)
 	for _, r := range t.crashes {
-		for part := range r.suspects() {
-			if t.isCleared(part, r.at) {
-				latest[part] = max(latest[part], t.answeredAt[part])
+		for key := range r.suspects() {
+			crashes[key]++
+			if t.isCleared(key, r.at) && (key.Kind == PromptPart || crashes[key] >= minSpreadCrashes) {
+				latest[key] = max(latest[key], t.answeredAt[key])
 			}
 		}
 	}
 	var answered []Answered
-	for part, at := range latest {
+	for key, at := range latest {
 		if at > after {
-			answered = append(answered, Answered{part, at})
+			answered = append(answered, Answered{key, at})
 		}
 	}
-	slices.SortFunc(answered, func(a, b Answered) int { return cmp.Or(cmp.Compare(b.At, a.At), cmp.Compare(a.Part, b.Part)) })
+	slices.SortFunc(answered, func(a, b Answered) int { return cmp.Or(cmp.Compare(b.At, a.At), compareKeys(a.Key, b.Key)) })
 	return answered
 }
--- a/internal/quarantine/doc.go
+++ b/internal/quarantine/doc.go
@@ -1,13 +1,15 @@
-// Package quarantine finds the prompt parts under which engines crash, and decides
-// which requests reach no engine because of that. It does no I/O.
+// Package quarantine finds what engines crash on, and decides which requests reach no
+// engine because of that. It does no I/O.
 //
-// It answers this load: requests that share one part of their prompts, and nothing
-// else, come from any caller through any daemon, and each ends the engine that begins
-// to answer it. Blocking what they share with sound requests, such as the first part
-// or the caller, would refuse those too.
+// It answers two loads. Requests that share one part of their prompts, and nothing else,
+// come from any caller through any daemon, and each ends the engine that begins to answer
+// it; blocking what they share with sound requests, such as the first part or the caller,
+// would refuse those too. And one request comes again and again, under other identifiers
+// and through any daemon, and ends the engine that runs it.
 //
-// A part is blocked once engines have crashed several times while they began to answer
-// requests with it, of several sessions, and no engine has got past the beginning of
-// an answer on it since. Crashes at one instant, as of a rack, count once, and a crash
-// that a blocked part explains does not count against other parts.
+// A key, which is a part or a request, is blocked once engines have crashed several times
+// under it and have not answered it since. A part must have been there with several
+// sessions; a request's crashes count separately if it was sent to the engine after the
+// crash before. Crashes at one instant, as of a rack, count once otherwise, and a crash
+// that a blocked key explains does not count against others.
 package quarantine
--- /dev/null
+++ b/internal/quarantine/evidence.go
@@ -0,0 +1,217 @@
+package quarantine
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// blockingCrashes is the number of instants at which engines have crashed on a part
+	// that is then blocked: a sound part that happened to be at an engine twice is not,
+	// and users allow five.
+	blockingCrashes = 3
+	// blockingSources is the number of sessions whose requests were at those engines.
+	// One request that is sent to several engines puts all of its parts there.
+	blockingSources = 2
+	// blockingCrashesOfOne replaces both for a session that crashes engines alone.
+	blockingCrashesOfOne = 4
+	// blockingCrashesOfRequest is the number of crashes under a request that is then
+	// blocked, and blockingCrashesAlone that if no other request was at all of them: sound
+	// ones are sent on with the one that ends their engine, and may be at the next with it.
+	blockingCrashesOfRequest = 3
+	blockingCrashesAlone     = 2
+	// instant is the time within which crashes count once: engines of a rack end
+	// together, whatever they serve.
+	instant = 100 * time.Millisecond
+	// reportJitter is how far daemons' times of one crash may differ.
+	reportJitter = 20 * time.Millisecond
+)
+
+// evidence is what speaks against one key.
+type evidence struct {
+	key     Key
+	crashes []*record
+	sources sources
+}
+
+// evidence returns what speaks against each key, with the crashes in order of time.
+func (t *Table) evidence(explained map[*record]bool) map[Key]*evidence {
+	all := make(map[Key]*evidence)
+	for _, r := range t.crashes {
+		if explained[r] {
+			continue
+		}
+		for key, from := range r.suspects() {
+			if t.isCleared(key, r.at) {
+				continue
+			}
+			if all[key] == nil {
+				all[key] = &evidence{key: key, sources: make(sources)}
+			}
+			all[key].add(r, from)
+		}
+	}
+	return all
+}
+
+func (e *evidence) add(r *record, from sources) {
+	e.crashes = append(e.crashes, r)
+	for source := range from {
+		e.sources[source] = true
+	}
+}
+
+func (e *evidence) isEnough() bool {
+	if e.key.Kind == WholeRequest {
+		return e.repetitions() >= blockingCrashesOfRequest
+	}
+	instants := e.instants()
+	return instants >= blockingCrashesOfOne || instants >= blockingCrashes && len(e.sources) >= blockingSources
+}
+
+// instants counts the crashes, those at one instant once.
+func (e *evidence) instants() int {
+	count := 0
+	var began time.Duration
+	for i, r := range e.crashes {
+		if i == 0 || r.at-began > instant {
+			count++
+			began = r.at
+		}
+	}
+	return count
+}
+
+// repetitions counts the crashes of a request, those at one instant once, unless the
+// request was sent to the engine after the crash before.
+func (e *evidence) repetitions() int {
+	count := 0
+	var last time.Duration
+	for i, r := range e.crashes {
+		if i == 0 || r.at-last > instant || r.sentAt[e.key] >= last-reportJitter {
+			count++
+			last = r.at
+		}
+	}
+	return count
+}
+
+// isRefuted reports whether answers clear a key of so many of its crashes that the others
+// are not enough to block it.
+func (t *Table) isRefuted(key Key) bool {
+	cleared := false
+	e := &evidence{key: key, sources: make(sources)}
+	for _, r := range t.crashes {
+		from, suspected := r.suspects()[key]
+		switch {
+		case !suspected:
+		case t.isCleared(key, r.at):
+			cleared = true
+		default:
+			e.add(r, from)
+		}
+	}
+	return cleared && !e.isEnough()
+}
+
+// Changes are the keys that are blocked, and those that are no longer, after a crash.
+type Changes struct {
+	Blocked, Unblocked []Key
+}
+
+// explain finds the keys that explain the crashes: the one with the most crashes first, and
+// then those that explain the others. It blocks them if there is enough evidence, and lifts
+// the blocks of keys all of whose crashes others explain.
+func (t *Table) explain(now time.Duration) (changes Changes) {
+	explained := make(map[*record]bool)
+	found := make(map[Key]bool)
+	for {
+		strongest := t.strongest(explained)
+		if len(strongest) == 0 {
+			break
+		}
+		for _, e := range strongest {
+			found[e.key] = true
+			if t.blocks[e.key] == nil {
+				t.addBlock(e.key, &block{since: e.crashes[len(e.crashes)-1].at, triedAt: now})
+				changes.Blocked = append(changes.Blocked, e.key)
+			}
+			t.blocks[e.key].isAmbiguous, t.blocks[e.key].isEarly = len(strongest) > 1, !e.isEnough()
+		}
+		for _, e := range strongest {
+			t.markExplained(e.key, explained)
+		}
+	}
+	for key, e := range t.evidence(nil) {
+		isExplained := !slices.ContainsFunc(e.crashes, func(r *record) bool { return !explained[r] })
+		if t.blocks[key] != nil && !found[key] && isExplained {
+			delete(t.blocks, key)
+			t.unblockedAt[key] = now
+			changes.Unblocked = append(changes.Unblocked, key)
+		}
+	}
+	return changes
+}
+
+func (t *Table) markExplained(key Key, explained map[*record]bool) {
+	for _, r := range t.crashes {
+		if _, suspected := r.suspects()[key]; suspected {
+			explained[r] = true
+		}
+	}
+}
+
+// strongest returns the keys that come next: the one with the most crashes that are not
+// explained, among those that are blocked or have enough evidence, and those that were at
+// the same engines, which nothing tells from it.
+func (t *Table) strongest(explained map[*record]bool) (found []*evidence) {
+	var best *evidence
+	all := t.evidence(explained)
+	for _, e := range all {
+		if t.mayExplain(e, all) && (best == nil || len(e.crashes) > len(best.crashes)) {
+			best = e
+		}
+	}
+	if best == nil {
+		return nil
+	}
+	for _, e := range all {
+		if t.mayExplain(e, all) && slices.Equal(e.crashes, best.crashes) {
+			found = append(found, e)
+		}
+	}
+	slices.SortFunc(found, func(a, b *evidence) int { return compareKeys(a.key, b.key) })
+	return t.narrowest(found)
+}
+
+// isAlone reports whether no other request was at all crashes of one.
+func isAlone(e *evidence, all map[Key]*evidence) bool {
+	for _, other := range all {
+		if other.key.Kind == WholeRequest && other != e && len(other.crashes) >= len(e.crashes) && containsAll(other.crashes, e.crashes) {
+			return false
+		}
+	}
+	return true
+}
+
+func containsAll(crashes, others []*record) bool {
+	return !slices.ContainsFunc(others, func(r *record) bool { return !slices.Contains(crashes, r) })
+}
+
+// narrowest leaves out parts that only one session has brought to the engines, if a whole
+// request explains the crashes as well: blocking the request takes less away.
+func (t *Table) narrowest(found []*evidence) []*evidence {
+	if !slices.ContainsFunc(found, func(e *evidence) bool { return e.key.Kind == WholeRequest }) {
+		return found
+	}
+	return slices.DeleteFunc(found, func(e *evidence) bool {
+		return e.key.Kind == PromptPart && len(e.sources) < blockingSources && t.blocks[e.key] == nil
+	})
+}
+
+func (t *Table) mayExplain(e *evidence, all map[Key]*evidence) bool {
+	if t.blocks[e.key] != nil || e.isEnough() {
+		return true
+	}
+	return e.key.Kind == WholeRequest && e.repetitions() >= blockingCrashesAlone && isAlone(e, all)
+}
--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -9,20 +9,8 @@
 )
 
 const (
-	// blockingCrashes is the number of instants at which engines have crashed on a part
-	// that is then blocked: a sound part that happened to be at an engine twice is not,
-	// and users allow five.
-	blockingCrashes = 3
-	// blockingSources is the number of sessions whose requests were at those engines.
-	// One request that is sent to several engines puts all of its parts there.
-	blockingSources = 2
-	// blockingCrashesOfOne replaces both for a session that crashes engines alone.
-	blockingCrashesOfOne = 4
-	// instant is the time within which crashes count once: engines of a rack end
-	// together, whatever they serve.
-	instant = 100 * time.Millisecond
-	// recentAnswer is how long before a crash an answer on a part clears it: parts that
-	// many requests share are at every engine that ends.
+	// recentAnswer is how long before a crash an answer clears what it was given to:
+	// parts that many requests share are at every engine that ends.
 	recentAnswer = time.Second
 	// sameCrash is the time within which reports are about one crash if the process has
 	// no incarnation: one that starts again may have its identifier.
@@ -31,9 +19,11 @@
 	evidenceTTL = 10 * time.Minute
 	// blockTTL bounds a block. Engines may have other software by then.
 	blockTTL = time.Hour
-	// maxCrashes and maxAnswered bound the tables, about 200 and 50 bytes an entry.
+	// maxCrashes, maxAnswered and maxBlocks bound the tables, about 200, 50 and 100 bytes
+	// an entry.
 	maxCrashes  = 512
 	maxAnswered = 20_000
+	maxBlocks   = 2048
 	// sweepInterval is the time between two removals of what has expired.
 	sweepInterval = 5 * time.Second
 )
@@ -46,12 +36,16 @@
 
 // Suspect is a request that an engine had when its process ended.
 type Suspect struct {
+	// Request identifies the request; 0 if it is not suspected itself, or not known.
+	Request Fingerprint
+	// HeldFor is how long the engine had the request.
+	HeldFor time.Duration
 	// Source identifies the request or its session: the last part of its prompt.
 	Source topology.PromptPart
 	// Parts are the other parts.
 	Parts []topology.PromptPart
-	// Begun is set if the engine had begun to answer the request. Others count only at
-	// a crash at which no begun one is known.
+	// Begun is set if the engine had begun to answer the request. The parts of others
+	// count only at a crash at which no begun one is known.
 	Begun bool
 }
 
@@ -62,14 +56,22 @@
 	Suspects []Suspect
 }
 
-// NewSuspect returns the suspect that a request is by the parts of its prompt, and
-// false if it has no part that other requests share.
-func NewSuspect(prompt []topology.PromptPart, begun bool) (Suspect, bool) {
-	if len(prompt) < 2 {
-		return Suspect{}, false
+// Failure is a request that an engine broke off. SentAt and At are readings of the
+// table's clock.
+type Failure struct {
+	Request Request
+	// Begun is set if the engine had begun to answer.
+	Begun      bool
+	SentAt, At time.Duration
+}
+
+// Suspect returns the suspect that the request is if the engine's process has ended.
+func (f Failure) Suspect() Suspect {
+	s := Suspect{Request: f.Request.Fingerprint, HeldFor: f.At - f.SentAt, Parts: f.Request.SharedParts(), Begun: f.Begun}
+	if prompt := f.Request.Prompt; len(prompt) > 0 {
+		s.Source = prompt[len(prompt)-1]
 	}
-	last := len(prompt) - 1
-	return Suspect{Source: prompt[last], Parts: prompt[:last], Begun: begun}, true
+	return s
 }
 
 // sources is a set of sessions.
@@ -77,17 +79,34 @@
 
 // record is a crash as far as it is known. It may be reported by several daemons.
 type record struct {
-	process        Process
-	at             time.Duration
-	begun, waiting map[topology.PromptPart]sources
+	process Process
+	at      time.Duration
+	// begun and waiting hold the parts of requests that the engine had begun to answer
+	// and of others, with their sessions. requests holds the requests themselves, whether
+	// begun or not: a request is at engine after engine only if it comes again.
+	begun, waiting, requests map[Key]sources
+	// sentAt is when requests were sent to the engine.
+	sentAt map[Key]time.Duration
+	// all is what suspects returns; nil if it must be collected again.
+	all map[Key]sources
 }
 
-// suspects returns the parts that may have ended the process.
-func (r *record) suspects() map[topology.PromptPart]sources {
-	if len(r.begun) > 0 {
-		return r.begun
+// suspects returns what may have ended the process.
+func (r *record) suspects() map[Key]sources {
+	if r.all != nil {
+		return r.all
+	}
+	parts := r.begun
+	if len(parts) == 0 {
+		parts = r.waiting
+	}
+	r.all = make(map[Key]sources, len(parts)+len(r.requests))
+	for _, keys := range []map[Key]sources{parts, r.requests} {
+		for key, from := range keys {
+			r.all[key] = from
+		}
 	}
-	return r.waiting
+	return r.all
 }
 
 // Table holds what one daemon knows of crashes and blocks. All times are readings of
@@ -95,215 +114,153 @@
 type Table struct {
 	// crashes is in order of time.
 	crashes []*record
-	// answeredAt is when an engine last began an answer on a part and went on.
-	answeredAt map[topology.PromptPart]time.Duration
-	blocks     map[topology.PromptPart]*block
+	// answeredAt is when an engine last answered a request with a key: it began and went
+	// on.
+	answeredAt map[Key]time.Duration
+	blocks     map[Key]*block
 	// unblockedAt holds the answers that ended blocks, which other daemons may not know.
-	unblockedAt map[topology.PromptPart]time.Duration
+	unblockedAt map[Key]time.Duration
 	sweptAt     time.Duration
 }
 
 // NewTable returns a table without crashes.
 func NewTable() *Table {
 	return &Table{
-		answeredAt:  make(map[topology.PromptPart]time.Duration),
-		blocks:      make(map[topology.PromptPart]*block),
-		unblockedAt: make(map[topology.PromptPart]time.Duration),
+		answeredAt:  make(map[Key]time.Duration),
+		blocks:      make(map[Key]*block),
+		unblockedAt: make(map[Key]time.Duration),
 	}
 }
 
-// Changes are the parts that are blocked, and those that are no longer, after a crash.
-type Changes struct {
-	Blocked, Unblocked []topology.PromptPart
-}
-
 // RecordCrash adds a crash, or suspects of one that is known, and returns what is blocked
-// because of it, and what is not as another part explains the crashes better.
+// because of it, and what is not as another key explains the crashes better.
 func (t *Table) RecordCrash(now time.Duration, crash Crash) Changes {
 	t.sweep(now)
 	r := t.recordOf(crash)
+	isNew := false
 	for _, suspect := range crash.Suspects {
-		r.add(suspect)
-		t.recordCrashOfBlocked(now, suspect)
+		if r.add(suspect, crash.At) {
+			isNew = true
+		}
+		t.recordCrashOfBlocked(now, crash.At, suspect)
+	}
+	if !isNew {
+		return Changes{} // reports are repeated
 	}
 	return t.explain(now)
 }
 
-// recordOf returns the record of a crash, which it adds if there is none.
+// recordOf returns the record of a crash, which it adds if there is none. The earliest
+// report has the time.
 func (t *Table) recordOf(crash Crash) *record {
+	r := t.findRecord(crash)
+	if r == nil {
+		if len(t.crashes) >= maxCrashes {
+			t.crashes = t.crashes[1:]
+		}
+		r = &record{
+			process: crash.Process, at: crash.At,
+			begun: make(map[Key]sources), waiting: make(map[Key]sources), requests: make(map[Key]sources), sentAt: make(map[Key]time.Duration),
+		}
+		t.crashes = append(t.crashes, r)
+	}
+	r.at = min(r.at, crash.At)
+	slices.SortStableFunc(t.crashes, func(a, b *record) int { return cmp.Compare(a.at, b.at) })
+	return r
+}
+
+func (t *Table) findRecord(crash Crash) *record {
 	for _, r := range t.crashes {
 		if r.process == crash.Process && (crash.Process.Incarnation != 0 || (r.at-crash.At).Abs() < sameCrash) {
 			return r
 		}
 	}
-	if len(t.crashes) >= maxCrashes {
-		t.crashes = t.crashes[1:]
-	}
-	r := &record{process: crash.Process, at: crash.At, begun: make(map[topology.PromptPart]sources), waiting: make(map[topology.PromptPart]sources)}
-	t.crashes = append(t.crashes, r)
-	slices.SortStableFunc(t.crashes, func(a, b *record) int { return cmp.Compare(a.at, b.at) })
-	return r
+	return nil
 }
 
-func (r *record) add(suspect Suspect) {
+// add adds a suspect and reports whether it brings anything new.
+func (r *record) add(suspect Suspect, at time.Duration) (isNew bool) {
 	parts := r.waiting
 	if suspect.Begun {
 		parts = r.begun
 	}
 	for _, part := range suspect.Parts {
-		if parts[part] == nil {
-			parts[part] = make(sources)
-		}
-		parts[part][suspect.Source] = true
+		isNew = addSource(parts, PartKey(part), suspect.Source) || isNew
 	}
-}
-
-// RecordAnswer records that an engine began at a time to answer a request with the
-// parts and went on, and returns those that are no longer blocked.
-func (t *Table) RecordAnswer(now, at time.Duration, parts []topology.PromptPart) (unblocked []topology.PromptPart) {
-	t.sweep(now)
-	for _, part := range parts {
-		if _, known := t.answeredAt[part]; !known && len(t.answeredAt) >= maxAnswered {
-			continue
-		}
-		t.answeredAt[part] = max(t.answeredAt[part], at)
-		if b := t.blocks[part]; b != nil && at > b.since {
-			delete(t.blocks, part)
-			t.unblockedAt[part] = at
-			unblocked = append(unblocked, part)
-		}
+	if suspect.Request != 0 {
+		key := RequestKey(suspect.Request)
+		isNew = addSource(r.requests, key, suspect.Source) || isNew
+		r.sentAt[key] = max(r.sentAt[key], at-suspect.HeldFor)
 	}
-	return unblocked
-}
-
-// isCleared reports whether an answer shows that a part has not caused a crash.
-func (t *Table) isCleared(part topology.PromptPart, crashAt time.Duration) bool {
-	answeredAt, ok := t.answeredAt[part]
-	return ok && answeredAt >= crashAt-recentAnswer
-}
-
-// RecentlyAnswered reports whether an answer of the last moment clears a part of a
-// crash at now.
-func (t *Table) RecentlyAnswered(now time.Duration, part topology.PromptPart) bool {
-	return t.isCleared(part, now)
-}
-
-// evidence is what speaks against one part.
-type evidence struct {
-	part    topology.PromptPart
-	crashes []*record
-	sources sources
-}
-
-// explain finds the parts that explain the crashes: the one with the most crashes first, and
-// then those that explain the others. It blocks them if there is enough evidence, and lifts
-// the blocks of parts all of whose crashes others explain.
-func (t *Table) explain(now time.Duration) (changes Changes) {
-	explained := make(map[*record]bool)
-	found := make(map[topology.PromptPart]bool)
-	for {
-		strongest := t.strongest(explained)
-		if len(strongest) == 0 {
-			break
-		}
-		for _, e := range strongest {
-			found[e.part] = true
-			if t.blocks[e.part] == nil {
-				t.blocks[e.part] = &block{since: e.crashes[len(e.crashes)-1].at, triedAt: now}
-				changes.Blocked = append(changes.Blocked, e.part)
-			}
-		}
-		for _, e := range strongest {
-			t.markExplained(e.part, explained)
-		}
-	}
-	for part, e := range t.evidence(nil) {
-		isExplained := !slices.ContainsFunc(e.crashes, func(r *record) bool { return !explained[r] })
-		if t.blocks[part] != nil && !found[part] && isExplained {
-			delete(t.blocks, part)
-			t.unblockedAt[part] = now
-			changes.Unblocked = append(changes.Unblocked, part)
-		}
+	if isNew {
+		r.all = nil
 	}
-	return changes
+	return isNew
 }
 
-func (t *Table) markExplained(part topology.PromptPart, explained map[*record]bool) {
-	for _, r := range t.crashes {
-		if _, suspected := r.suspects()[part]; suspected {
-			explained[r] = true
-		}
+func addSource(keys map[Key]sources, key Key, source topology.PromptPart) (isNew bool) {
+	if keys[key] == nil {
+		keys[key] = make(sources)
 	}
+	isNew = !keys[key][source]
+	keys[key][source] = true
+	return isNew
 }
 
-// strongest returns the parts that come next: the one with the most crashes that are not
-// explained, among those that are blocked or have enough evidence, and those that were at
-// the same engines, which nothing tells from it.
-func (t *Table) strongest(explained map[*record]bool) (found []*evidence) {
-	var best *evidence
-	all := t.evidence(explained)
-	for _, e := range all {
-		if t.mayExplain(e) && (best == nil || len(e.crashes) > len(best.crashes)) {
-			best = e
+// RecordAnswer records that an engine answered at a time a request with the keys, and
+// returns those that are no longer blocked.
+func (t *Table) RecordAnswer(now, at time.Duration, keys []Key) (unblocked []Key) {
+	t.sweep(now)
+	for _, key := range keys {
+		if _, known := t.answeredAt[key]; !known && len(t.answeredAt) >= maxAnswered && !t.isSuspected(key) {
+			continue
 		}
-	}
-	if best == nil {
-		return nil
-	}
-	for _, e := range all {
-		if t.mayExplain(e) && slices.Equal(e.crashes, best.crashes) {
-			found = append(found, e)
+		t.answeredAt[key] = max(t.answeredAt[key], at)
+		b := t.blocks[key]
+		switch {
+		case b == nil:
+			continue
+		case at > b.since:
+			t.unblockedAt[key] = at
+		case t.isRefuted(key):
+			t.unblockedAt[key] = now
+		default:
+			continue
 		}
+		delete(t.blocks, key)
+		unblocked = append(unblocked, key)
 	}
-	slices.SortFunc(found, func(a, b *evidence) int { return cmp.Compare(a.part, b.part) })
-	return found
+	return unblocked
 }
 
-func (t *Table) mayExplain(e *evidence) bool {
-	return t.blocks[e.part] != nil || e.isEnough()
+// isSuspected reports whether a request with a key was at an engine that ended.
+func (t *Table) isSuspected(key Key) bool {
+	return slices.ContainsFunc(t.crashes, func(r *record) bool {
+		_, suspected := r.suspects()[key]
+		return suspected
+	})
 }
 
-// evidence returns what speaks against each part, with the crashes in order of time.
-func (t *Table) evidence(explained map[*record]bool) map[topology.PromptPart]*evidence {
-	all := make(map[topology.PromptPart]*evidence)
-	for _, r := range t.crashes {
-		if explained[r] {
-			continue
-		}
-		for part, from := range r.suspects() {
-			if t.isCleared(part, r.at) {
-				continue
-			}
-			e := all[part]
-			if e == nil {
-				e = &evidence{part: part, sources: make(sources)}
-				all[part] = e
-			}
-			e.crashes = append(e.crashes, r)
-			for source := range from {
-				e.sources[source] = true
-			}
-		}
-	}
-	return all
-}
-
-func (e *evidence) isEnough() bool {
-	instants := e.instants()
-	return instants >= blockingCrashesOfOne || instants >= blockingCrashes && len(e.sources) >= blockingSources
+// isCleared reports whether an answer shows that a key has not caused a crash.
+func (t *Table) isCleared(key Key, crashAt time.Duration) bool {
+	answeredAt, ok := t.answeredAt[key]
+	return ok && answeredAt >= crashAt-recentAnswer
 }
 
-// instants counts the crashes, those at one instant once.
-func (e *evidence) instants() int {
-	count := 0
-	var began time.Duration
-	for i, r := range e.crashes {
-		if i == 0 || r.at-began > instant {
-			count++
-			began = r.at
+// Uncleared returns a suspect of a crash at a time without what answers of the last
+// moment clear of it, and false if nothing is left.
+func (t *Table) Uncleared(at time.Duration, suspect Suspect) (Suspect, bool) {
+	var parts []topology.PromptPart
+	for _, part := range suspect.Parts {
+		if !t.isCleared(PartKey(part), at) {
+			parts = append(parts, part)
 		}
 	}
-	return count
+	suspect.Parts = parts
+	if t.isCleared(RequestKey(suspect.Request), at) {
+		suspect.Request = 0
+	}
+	return suspect, len(parts) > 0 || suspect.Request != 0
 }
 
 // Crashes returns the number of crashes that are remembered.
@@ -316,26 +273,26 @@
 		return
 	}
 	t.sweptAt = now
-	suspected := make(map[topology.PromptPart]bool)
+	suspected := make(map[Key]bool)
 	t.crashes = slices.DeleteFunc(t.crashes, func(r *record) bool { return now-r.at > evidenceTTL })
 	for _, r := range t.crashes {
-		for part := range r.suspects() {
-			suspected[part] = true
+		for key := range r.suspects() {
+			suspected[key] = true
 		}
 	}
-	for part, at := range t.answeredAt {
-		if now-at > recentAnswer && !suspected[part] {
-			delete(t.answeredAt, part)
+	for key, at := range t.answeredAt {
+		if now-at > recentAnswer && !suspected[key] {
+			delete(t.answeredAt, key)
 		}
 	}
-	for part, b := range t.blocks {
+	for key, b := range t.blocks {
 		if now-b.since > blockTTL {
-			delete(t.blocks, part)
+			delete(t.blocks, key)
 		}
 	}
-	for part, at := range t.unblockedAt {
+	for key, at := range t.unblockedAt {
 		if now-at > evidenceTTL {
-			delete(t.unblockedAt, part)
+			delete(t.unblockedAt, key)
 		}
 	}
 }
--- a/internal/quarantine/table_test.go
+++ b/internal/quarantine/table_test.go
@@ -15,8 +15,8 @@
 	first    topology.PromptPart = 0xf1
 )
 
-func anyTry(topology.PromptPart) bool { return true }
-func noTry(topology.PromptPart) bool  { return false }
+func anyTry(Key) bool { return true }
+func noTry(Key) bool  { return false }
 
 // events plays crashes and answers on a table.
 type events struct {
@@ -37,16 +37,24 @@
 
 func (e *events) crashOf(process Process, begun bool, prompts ...[]topology.PromptPart) {
 	for _, prompt := range prompts {
-		suspect, ok := NewSuspect(prompt, begun)
-		if !ok {
-			panic("a prompt without shared parts")
-		}
-		e.table.RecordCrash(e.now, Crash{Process: process, At: e.now, Suspects: []Suspect{suspect}})
+		e.recordCrash(process, Failure{Request: Request{Prompt: prompt}, Begun: begun, SentAt: e.now, At: e.now})
+	}
+}
+
+// crashUnder ends an engine that has begun to answer requests.
+func (e *events) crashUnder(requests []Request) {
+	e.engine++
+	for _, request := range requests {
+		e.recordCrash(Process{ID: fmt.Sprint("lm-", e.engine), Incarnation: 1}, Failure{Request: request, Begun: true, SentAt: e.now, At: e.now})
 	}
 }
 
-func (e *events) answer(parts ...topology.PromptPart) []topology.PromptPart {
-	return e.table.RecordAnswer(e.now, e.now, parts)
+func (e *events) recordCrash(process Process, failure Failure) {
+	e.table.RecordCrash(e.now, Crash{Process: process, At: failure.At, Suspects: []Suspect{failure.Suspect()}})
+}
+
+func (e *events) answer(parts ...topology.PromptPart) []Key {
+	return e.table.RecordAnswer(e.now, e.now, sharing(parts...).Keys())
 }
 
 func (e *events) pass(d time.Duration) {
@@ -58,8 +66,14 @@
 	return parts
 }
 
+// sharing returns a request that shares parts with others.
+func sharing(parts ...topology.PromptPart) Request {
+	const own = 0xffff_ffff
+	return Request{Prompt: append(slices.Clone(parts), own)}
+}
+
 func (e *events) isBlocked(part topology.PromptPart) bool {
-	return e.table.Judge(e.now, prompt(part), noTry).Blocked
+	return e.table.Judge(e.now, sharing(part), noTry).Blocked
 }
 
 func TestPartIsBlockedByWhatCrashesHaveInCommon(t *testing.T) {
@@ -190,7 +204,7 @@
 			test.play(e)
 			var got []topology.PromptPart
 			for _, b := range e.table.Blocks() {
-				got = append(got, b.Part)
+				got = append(got, topology.PromptPart(b.Key.ID))
 			}
 			slices.Sort(got)
 			if !slices.Equal(got, test.want) {
@@ -223,7 +237,7 @@
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			e := blockedEvents()
-			judge := func(part topology.PromptPart) Verdict { return e.table.Judge(e.now, prompt(part), anyTry) }
+			judge := func(part topology.PromptPart) Verdict { return e.table.Judge(e.now, sharing(part), anyTry) }
 			for range test.refused {
 				judge(crashing)
 			}
@@ -235,14 +249,14 @@
 				t.Fatalf("%+v before a trial is due", v)
 			}
 			e.pass(test.after)
-			if v := e.table.Judge(e.now, prompt(crashing), noTry); !v.Blocked {
+			if v := e.table.Judge(e.now, sharing(crashing), noTry); !v.Blocked {
 				t.Fatalf("%+v at a daemon that may not try", v)
 			}
 			v := judge(crashing)
 			if !v.Trial {
 				t.Fatalf("%+v, want a trial", v)
 			}
-			if _, blocked := e.table.IsBlocked(prompt(crashing), v.Part, v.Trial); blocked {
+			if _, blocked := e.table.IsBlocked(sharing(crashing), v); blocked {
 				t.Error("the request that tries the part is blocked")
 			}
 			if v := judge(crashing); !v.Blocked {
@@ -267,23 +281,23 @@
 // What other daemons say of a block yields to a later answer, and to none before it.
 func TestBlocksOfOtherDaemons(t *testing.T) {
 	e := newEvents()
-	if !e.table.Block(e.now, e.now-time.Second, crashing) || !e.isBlocked(crashing) {
+	if !e.table.Block(e.now, e.now-time.Second, PartKey(crashing)) || !e.isBlocked(crashing) {
 		t.Fatal("not blocked on the word of another daemon")
 	}
-	if unblocked := e.table.RecordAnswer(e.now, e.now-2*time.Second, prompt(crashing)); len(unblocked) > 0 {
+	if unblocked := e.table.RecordAnswer(e.now, e.now-2*time.Second, sharing(crashing).Keys()); len(unblocked) > 0 {
 		t.Error("unblocked by an answer from before the block")
 	}
 	if unblocked := e.answer(crashing); len(unblocked) != 1 {
 		t.Error("not unblocked by a later answer")
 	}
 	e.pass(time.Minute)
-	if e.table.Block(e.now, e.now-90*time.Second, crashing) {
+	if e.table.Block(e.now, e.now-90*time.Second, PartKey(crashing)) {
 		t.Error("blocked again by a daemon that doesn't know of the answer")
 	}
-	if answered := e.table.AnsweredSuspects(e.now - 2*time.Minute); len(answered) != 1 || answered[0].Part != crashing {
+	if answered := e.table.AnsweredSuspects(e.now - 2*time.Minute); len(answered) != 1 || answered[0].Key != PartKey(crashing) {
 		t.Errorf("other daemons are told of %v", answered)
 	}
-	if !e.table.Block(e.now, e.now, crashing) {
+	if !e.table.Block(e.now, e.now, PartKey(crashing)) {
 		t.Error("not blocked by later crashes")
 	}
 	e.pass(blockTTL + sweepInterval + time.Second)
@@ -308,13 +322,13 @@
 func (l *crashLoad) play(requests int) (ended int, refused float64) {
 	const engines, perSecond, crashingShare = 9, 60, 0.04
 	soundRequests, soundRefused := 0, 0
-	var beginning [engines][][]topology.PromptPart
+	var beginning [engines][]Request
 	for n := range requests {
 		l.e.pass(time.Second / perSecond)
 		if n%6 == 0 {
 			for i := range beginning {
-				for _, p := range beginning[i] {
-					l.e.answer(p[:len(p)-1]...)
+				for _, request := range beginning[i] {
+					l.e.table.RecordAnswer(l.e.now, l.e.now, request.Keys())
 				}
 				beginning[i] = nil
 			}
@@ -325,7 +339,8 @@
 			p = append(p, l.crashing[l.random.IntN(len(l.crashing))])
 		}
 		p = append(p, topology.PromptPart(1_000_000+n))
-		v := l.e.table.Judge(l.e.now, p[:len(p)-1], anyTry)
+		request := Request{Fingerprint: Fingerprint(1 + n), Prompt: p}
+		v := l.e.table.Judge(l.e.now, request, anyTry)
 		if !isCrashing {
 			soundRequests++
 			if v.Blocked {
@@ -333,22 +348,22 @@
 			}
 		}
 		for range 2 {
-			if _, blocked := l.e.table.IsBlocked(p[:len(p)-1], v.Part, v.Trial); blocked {
+			if _, blocked := l.e.table.IsBlocked(request, v); blocked {
 				break
 			}
 			i := l.random.IntN(engines)
-			beginning[i] = append(beginning[i], p)
+			beginning[i] = append(beginning[i], request)
 			if !isCrashing {
 				break
 			}
 			ended++
-			l.e.crash(beginning[i]...)
+			l.e.crashUnder(beginning[i])
 			beginning[i] = nil
 			l.e.pass(150 * time.Millisecond)
 		}
 		if l.random.Float64() < l.otherCrashes/perSecond {
 			i := l.random.IntN(engines)
-			l.e.crash(beginning[i]...)
+			l.e.crashUnder(beginning[i])
 			beginning[i] = nil
 		}
 	}
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -5,6 +5,7 @@
 	"errors"
 	"log/slog"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/barleylift/barleylift/internal/clock"
@@ -24,9 +25,9 @@
 	route   *routing.Route
 	service *routing.Service
 	body    []byte
-	// fingerprint is the same for repetitions of the request by its caller.
-	fingerprint quarantine.Fingerprint
-	arrivedAt   time.Time
+	// subject is what the request is known by when engines crash under it.
+	subject   quarantine.Request
+	arrivedAt time.Time
 	// ctx is done when the caller disconnects or the deadline passes.
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -70,13 +71,14 @@
 	// softwareVersion is the version of the engine that began the stream, of which
 	// lastEventID is the last event; empty if it is unknown.
 	softwareVersion string
-	// verdict is the decision on the request's prompt, and enginesEnded counts the engines
-	// that have ended when they had begun to answer the request.
+	// verdict is the decision on the new request, and enginesEnded counts the engines that
+	// have ended when they had begun to answer the request, or may have run it.
 	verdict      quarantine.Verdict
-	enginesEnded int
-	// sendCtx is that of the current send. It ends early if a part of the prompt is
-	// blocked.
+	enginesEnded atomic.Int32
+	// sendCtx is that of the current send, which began at sentAt by clock.Boot. It ends
+	// early if the request is blocked.
 	sendCtx context.Context
+	sentAt  time.Duration
 	// engineAnswers is set once the engine of the current send has got past the beginning
 	// of its answer.
 	engineAnswers bool
@@ -104,7 +106,9 @@
 	}
 	e := &exchange{
 		relay: relay, w: w, request: request, call: call, table: table, route: route, body: body, arrivedAt: arrived, passedOn: passedOn,
-		fingerprint: quarantine.NewFingerprint(call.Method, call.Host, call.Target, call.Caller, body),
+		subject: quarantine.Request{
+			Fingerprint: quarantine.NewFingerprint(call.Method, call.Host, call.Target, call.Caller, body), Prompt: call.PromptParts,
+		},
 		deadline:    arrived.Add(min(timeout, route.Timeout)),
 		lastEventID: call.LastEventID,
 	}
@@ -144,7 +148,7 @@
 )
 
 func (e *exchange) serve() {
-	if e.refuseByPrompt() || e.refusePassedOn() {
+	if e.refuseIfBlocked() || e.refusePassedOn() {
 		return
 	}
 	if e.lastEventID != "" && e.route.Kind == routing.Streaming && !e.findOrigin() {
--- a/internal/relay/model.go
+++ b/internal/relay/model.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net/http"
 	"time"
@@ -307,9 +308,9 @@
 	if e.isCanceledByBlock() {
 		return e.withholdIfBlocked()
 	}
-	e.relay.log.Info("send failed", "id", e.call.ID, "upstream", upstream.ID, "written", result.written, "error", result.err, result.logAttributes(), "fingerprint", e.fingerprint.String(), e.promptAttribute())
+	e.relay.log.Info("send failed", "id", e.call.ID, "upstream", upstream.ID, "written", result.written, "error", result.err, result.logAttributes(), "fingerprint", e.subject.Fingerprint.String(), e.promptAttribute())
 	e.relay.config.Locator.RecordFailure(upstream.ID)
-	if result.written {
+	if result.written && !errors.Is(context.Cause(e.sendCtx), errTryTimeout) {
 		e.recordEngineFailure(upstream, result.begun)
 	}
 	e.tried = append(e.tried, upstream.ID)
--- a/internal/relay/pass_on_test.go
+++ b/internal/relay/pass_on_test.go
@@ -12,7 +12,7 @@
 	"time"
 
 	"github.com/barleylift/barleylift/internal/hop"
-	"github.com/barleylift/barleylift/internal/topology"
+	"github.com/barleylift/barleylift/internal/quarantine"
 )
 
 // otherVMs are VMs, in the order in which they are chosen, of a fleet whose own VM reaches no
@@ -136,7 +136,7 @@
 	answers atomic.Int64
 }
 
-func (c *answerCounter) EngineAnswers(string, []topology.PromptPart, time.Duration) {
+func (c *answerCounter) EngineAnswers(string, quarantine.Request, time.Duration) {
 	c.answers.Add(1)
 }
 
--- a/internal/relay/plain.go
+++ b/internal/relay/plain.go
@@ -141,7 +141,7 @@
 	}
 	complete := len(buffered) < maxBufferedBytes
 	if complete {
-		e.recordAnswer()
+		e.recordAnswer(result.response.StatusCode)
 		result.response.Release()
 		e.w.Header().Set("Content-Length", strconv.Itoa(len(buffered)))
 	}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -37,7 +37,8 @@
 	// TurnDeclined counts a request that has found no room within an upstream's
 	// rate limit.
 	TurnDeclined(service string)
-	// RequestWithheld counts a request that no engine gets because of its prompt.
+	// RequestWithheld counts a request that no engine gets because engines crash on it or
+	// on a part of its prompt.
 	RequestWithheld(service string)
 	// RequestPassedOn counts a request that is passed on to another VM.
 	RequestPassedOn(service string)
@@ -56,20 +57,19 @@
 	FindOrigin(ctx context.Context, request string) (softwareVersion string, ok bool)
 }
 
-// Quarantine knows the prompt parts under which engines crash. Prompts are passed with
-// all of their parts.
+// Quarantine knows the prompt parts and the requests under which engines crash.
 type Quarantine interface {
-	// JudgePrompt decides whether a new request may reach an engine.
-	JudgePrompt(prompt []topology.PromptPart) quarantine.Verdict
-	// IsBlocked returns a part because of which a request must reach no engine any more,
-	// if there is one.
-	IsBlocked(prompt []topology.PromptPart, verdict quarantine.Verdict) (topology.PromptPart, bool)
+	// Judge decides whether a new request may reach an engine.
+	Judge(request quarantine.Request) quarantine.Verdict
+	// IsBlocked returns what a request must reach no engine any more for, if there is
+	// anything.
+	IsBlocked(request quarantine.Request, verdict quarantine.Verdict) (quarantine.Key, bool)
 	// EngineAnswers records that an engine began to answer a request some time ago and
 	// has gone on since.
-	EngineAnswers(id string, prompt []topology.PromptPart, ago time.Duration)
-	// EngineFailed records that an engine failed a request, which it had begun to answer
-	// or may have had otherwise, and reports whether the engine's process has ended.
-	EngineFailed(ctx context.Context, id string, upstream topology.Upstream, prompt []topology.PromptPart, begun bool) (ended bool)
+	EngineAnswers(id string, request quarantine.Request, ago time.Duration)
+	// EngineFailed records that an engine failed a request, and reports whether the
+	// engine's process has ended.
+	EngineFailed(ctx context.Context, id string, upstream topology.Upstream, failure quarantine.Failure) (ended bool)
 }
 
 // Peers are the other VMs, to which requests are passed on while this VM reaches no
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -51,17 +51,17 @@
 // noQuarantine knows no crashes.
 type noQuarantine struct{}
 
-func (noQuarantine) JudgePrompt([]topology.PromptPart) quarantine.Verdict {
+func (noQuarantine) Judge(quarantine.Request) quarantine.Verdict {
 	return quarantine.Verdict{}
 }
 
-func (noQuarantine) IsBlocked([]topology.PromptPart, quarantine.Verdict) (topology.PromptPart, bool) {
-	return 0, false
+func (noQuarantine) IsBlocked(quarantine.Request, quarantine.Verdict) (quarantine.Key, bool) {
+	return quarantine.Key{}, false
 }
 
-func (noQuarantine) EngineAnswers(string, []topology.PromptPart, time.Duration) {}
+func (noQuarantine) EngineAnswers(string, quarantine.Request, time.Duration) {}
 
-func (noQuarantine) EngineFailed(context.Context, string, topology.Upstream, []topology.PromptPart, bool) bool {
+func (noQuarantine) EngineFailed(context.Context, string, topology.Upstream, quarantine.Failure) bool {
 	return false
 }
 
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -153,7 +153,7 @@
 		return e.withholdIfBlocked()
 	}
 	e.relay.log.Info("stream from the engine failed", "id", e.call.ID, "upstream", upstream.ID, "events", e.events, "last_event", e.lastEventID, "error", err,
-		"engine_events", e.engineEvents, "fingerprint", e.fingerprint.String(), e.promptAttribute())
+		"engine_events", e.engineEvents, "fingerprint", e.subject.Fingerprint.String(), e.promptAttribute())
 	engines.RecordFailure(upstream.ID)
 	e.recordEngineFailure(upstream, true)
 	e.tried = append(e.tried, upstream.ID)
--- a/internal/relay/prompt.go
+++ b/internal/relay/withhold.go
@@ -10,12 +10,14 @@
 	"sync"
 	"time"
 
+	"github.com/barleylift/barleylift/internal/clock"
+	"github.com/barleylift/barleylift/internal/quarantine"
 	"github.com/barleylift/barleylift/internal/topology"
 )
 
 const (
-	// answerProofTime is how long an engine that crashes on a prompt part could go on
-	// after the first event of its answer.
+	// answerProofTime is how long an engine that crashes on a request could go on after the
+	// first event of its answer.
 	answerProofTime = 300 * time.Millisecond
 	// maxEnginesEnded is the number of engines that may end under one request. It is not
 	// sent to another one then.
@@ -27,8 +29,8 @@
 	maxLoggedParts = 8
 )
 
-// errWithheld ends a send that has not begun when a part of its prompt is blocked.
-var errWithheld = errors.New("engines crash on a part of the request's prompt")
+// errWithheld ends a send that engines have not begun to answer when its request is blocked.
+var errWithheld = errors.New("engines crash on the request")
 
 // promptAttribute returns the parts of the request's prompt for the log.
 func (e *exchange) promptAttribute() slog.Attr {
@@ -40,33 +42,32 @@
 	return slog.Group("prompt", "parts", texts, "count", len(parts))
 }
 
-// refuseByPrompt refuses a new request if engines crash on a part of its prompt, and
-// reports whether it did.
-func (e *exchange) refuseByPrompt() bool {
-	e.verdict = e.relay.config.Quarantine.JudgePrompt(e.call.PromptParts)
+// refuseIfBlocked refuses a new request if engines crash on it, and reports whether it did.
+func (e *exchange) refuseIfBlocked() bool {
+	e.verdict = e.relay.config.Quarantine.Judge(e.subject)
 	if e.verdict.Trial {
-		e.relay.log.Info("request tries a prompt part again on which engines have crashed", "id", e.call.ID, "prompt_part", e.verdict.Part.String())
+		e.relay.log.Info("request tries again what engines have crashed on", "id", e.call.ID, "cause", e.verdict.Key.String())
 	}
 	if e.verdict.Blocked {
-		e.withhold(e.verdict.Part)
+		e.withhold(e.verdict.Key)
 	}
 	return e.verdict.Blocked
 }
 
-// withholdIfBlocked ends the request before a send if engines have crashed on a part of
-// its prompt meanwhile, and reports whether it did.
+// withholdIfBlocked ends the request before a send if engines have crashed on it meanwhile,
+// and reports whether it did.
 func (e *exchange) withholdIfBlocked() bool {
-	part, blocked := e.relay.config.Quarantine.IsBlocked(e.call.PromptParts, e.verdict)
+	key, blocked := e.relay.config.Quarantine.IsBlocked(e.subject, e.verdict)
 	if blocked {
-		e.withhold(part)
+		e.withhold(key)
 	}
 	return blocked
 }
 
-func (e *exchange) withhold(part topology.PromptPart) {
+func (e *exchange) withhold(key quarantine.Key) {
 	e.relay.config.Metrics.RequestWithheld(e.service.Name)
 	spread := time.Duration(float64(e.random()) / math.MaxUint64 * float64(withheldReturn))
-	e.giveUp(http.StatusBadGateway, withheldReturn+spread, errWithheld.Error()+": "+part.String())
+	e.giveUp(http.StatusBadGateway, withheldReturn+spread, errWithheld.Error()+": "+key.String())
 }
 
 // recordProgress records, once a send, that the engine has got past the beginning of its
@@ -75,9 +76,21 @@
 	if e.viaVM || e.engineAnswers || e.engineEvents == 0 || !complete && now.Sub(e.engineBeganAt) < answerProofTime {
 		return
 	}
+	e.recordEngineAnswers(now.Sub(e.engineBeganAt))
+}
+
+// recordAnswer records that an upstream has answered the request with a whole body. One
+// that failed may not have run the request so far that it would have crashed.
+func (e *exchange) recordAnswer(status int) {
+	if !e.engineAnswers && !e.viaVM && status < http.StatusInternalServerError {
+		e.recordEngineAnswers(0)
+	}
+}
+
+func (e *exchange) recordEngineAnswers(ago time.Duration) {
 	e.engineAnswers = true
 	e.relay.beginnings.remove(e)
-	e.relay.config.Quarantine.EngineAnswers(e.call.ID, e.call.PromptParts, now.Sub(e.engineBeganAt))
+	e.relay.config.Quarantine.EngineAnswers(e.call.ID, e.subject, ago)
 }
 
 // recordEngineFailure records that an engine broke off the request. begun is set if it
@@ -86,40 +99,38 @@
 	if e.engineAnswers || e.viaVM || e.ctx.Err() != nil {
 		return
 	}
-	if !begun {
-		// The request waited there at most: it goes on at another engine at once.
-		go e.relay.config.Quarantine.EngineFailed(context.WithoutCancel(e.ctx), e.call.ID, upstream, e.call.PromptParts, false)
-		return
+	failure := quarantine.Failure{Request: e.subject, Begun: begun, SentAt: e.sentAt, At: clock.Boot()}
+	// A replica answers at once and whole: it may have run the request, whatever it sent.
+	mayHaveBegun := begun || e.service.Engines == nil
+	record := func(ctx context.Context) {
+		if e.relay.config.Quarantine.EngineFailed(ctx, e.call.ID, upstream, failure) && mayHaveBegun {
+			e.enginesEnded.Add(1)
+		}
 	}
-	if e.relay.config.Quarantine.EngineFailed(e.ctx, e.call.ID, upstream, e.call.PromptParts, true) {
-		e.enginesEnded++
+	if begun || mayHaveBegun && (e.verdict.Trial || e.possibleRuns > 1) {
+		record(e.ctx)
+		return
 	}
+	// The request goes on at another engine at once.
+	go record(context.WithoutCancel(e.ctx))
 }
 
 // giveUpIfEndingEngines ends the request if so many engines have ended under it that it
 // is not sent to another one, and reports whether it did.
 func (e *exchange) giveUpIfEndingEngines() bool {
-	if e.enginesEnded < maxEnginesEnded && !(e.verdict.Trial && e.enginesEnded > 0) {
+	ended := e.enginesEnded.Load()
+	if ended < maxEnginesEnded && !(e.verdict.Trial && ended > 0) {
 		return false
 	}
 	e.giveUp(http.StatusBadGateway, 0, "engines have ended under the request")
 	return true
 }
 
-// recordAnswer records that an upstream has answered the request with a whole body.
-func (e *exchange) recordAnswer() {
-	if !e.engineAnswers && !e.viaVM {
-		e.engineAnswers = true
-		e.relay.beginnings.remove(e)
-		e.relay.config.Quarantine.EngineAnswers(e.call.ID, e.call.PromptParts, 0)
-	}
-}
-
-// beginSend returns the context of a send, which ends when a part of the prompt is
-// blocked. end must be called when the send is over.
+// beginSend returns the context of a send, which ends when the request is blocked. end must
+// be called when the send is over.
 func (e *exchange) beginSend(parent context.Context) (ctx context.Context, end func()) {
 	ctx, cancel := context.WithCancelCause(parent)
-	e.sendCtx = ctx
+	e.sendCtx, e.sentAt = ctx, clock.Boot()
 	e.relay.sending.Add(1)
 	e.relay.beginnings.add(e, cancel)
 	return ctx, func() {
@@ -129,8 +140,8 @@
 	}
 }
 
-// isCanceledByBlock reports whether the current send has ended because a part of the
-// prompt was blocked.
+// isCanceledByBlock reports whether the current send has ended because the request was
+// blocked.
 func (e *exchange) isCanceledByBlock() bool {
 	return errors.Is(context.Cause(e.sendCtx), errWithheld)
 }
@@ -157,22 +168,22 @@
 	delete(b.exchanges, e)
 }
 
-// with returns what cancels the requests with a part of their prompts that others share.
-func (b *beginnings) with(part topology.PromptPart) (cancels []context.CancelCauseFunc) {
+// with returns what cancels the requests with a key.
+func (b *beginnings) with(key quarantine.Key) (cancels []context.CancelCauseFunc) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for e, cancel := range b.exchanges {
-		if parts := e.call.PromptParts; len(parts) > 0 && slices.Contains(parts[:len(parts)-1], part) {
+		if slices.Contains(e.subject.Keys(), key) {
 			cancels = append(cancels, cancel)
 		}
 	}
 	return cancels
 }
 
-// WithholdPart cancels the requests with a prompt part that engines have not begun to
-// answer: an engine that still has one waiting doesn't run it then.
-func (r *Relay) WithholdPart(part topology.PromptPart) {
-	for _, cancel := range r.beginnings.with(part) {
+// Withhold cancels the requests with a key that engines have not begun to answer: an engine
+// that still has one waiting doesn't run it then.
+func (r *Relay) Withhold(key quarantine.Key) {
+	for _, cancel := range r.beginnings.with(key) {
 		cancel(errWithheld)
 	}
 }
