--- a/internal/quarantine/fingerprint_test.go
+++ b/internal/quarantine/fingerprint_test.go
@@ -23,3 +23,11 @@
 		}
 	}
 }
+
+func BenchmarkFingerprint(b *testing.B) {
+	body := make([]byte, 4096)
+	b.ReportAllocs()
+	for b.Loop() {
+		NewFingerprint("POST", "h.example", "/a/b?q=1", "", body)
+	}
+}
