--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"net"
 	"net/netip"
+	"time"
 
 	"github.com/fxamacker/cbor/v2"
 )
@@ -18,7 +19,7 @@
 	Incarnation int64
 	// Receive is called for each packet, from one goroutine.
 	Receive func(Packet)
-	// CountBytes counts the bytes sent and received; it may be nil.
+	// CountBytes counts the bytes sent, received and dropped; it may be nil.
 	CountBytes func(direction string, n int)
 	Log        *slog.Logger
 }
@@ -28,6 +29,9 @@
 	config Config
 	log    *slog.Logger
 	conn   *net.UDPConn
+	// dropped counts the datagrams that could not be read since dropLoggedAt.
+	dropped      int
+	dropLoggedAt time.Time
 }
 
 // Open binds the socket.
@@ -60,13 +64,27 @@
 		m.config.CountBytes("in", n)
 		var packet Packet
 		if err := cbor.Unmarshal(buffer[:n], &packet); err != nil || packet.From == "" {
-			m.log.Debug("dropped a malformed datagram", "error", err)
+			m.recordDrop(n, err)
 			continue
 		}
 		m.config.Receive(packet)
 	}
 }
 
+// dropLogInterval is the least time between two lines on dropped datagrams.
+const dropLogInterval = 10 * time.Second
+
+// recordDrop counts and logs a datagram that can't be read: another program sends to the
+// port, or a daemon of another version. Only Run's goroutine calls it.
+func (m *Mesh) recordDrop(size int, err error) {
+	m.config.CountBytes("dropped", size)
+	m.dropped++
+	if now := time.Now(); m.dropLoggedAt.IsZero() || now.Sub(m.dropLoggedAt) >= dropLogInterval {
+		m.log.Warn("datagrams can't be read, dropped", "count", m.dropped, "error", err)
+		m.dropped, m.dropLoggedAt = 0, now
+	}
+}
+
 // Send sends a packet to another daemon's mesh address. It does not report
 // whether the packet arrives.
 func (m *Mesh) Send(to string, packet Packet) {
