relay: an upstream is asked for again once there is a connection to it

What an engine sees: a request that had been given to it waits up to 500 ms for a connection, and is sent although the engine has asked for a pause or said that it leaves meanwhile.

Cause: the check stood before the wait for a connection, not before the first byte.

Change: the same check is made again just before the first byte; the request goes to another upstream then. A kept connection that carries nothing goes back with the time that it had left.

--- a/internal/hop/exchange.go
+++ b/internal/hop/exchange.go
@@ -116,7 +116,11 @@
 	}
 	if options.BeforeWrite != nil {
 		if err := options.BeforeWrite(); err != nil {
-			p.put(c, maxIdle)
+			keep := maxIdle
+			if c.reused {
+				keep = time.Until(c.usableUntil)
+			}
+			p.put(c, keep)
 			return nil, &Error{Err: err}
 		}
 	}
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -264,8 +264,13 @@
 	return slog.Group("send", "connection", uint64(s.conn), "reused", s.reused, "skipped", s.skipped, "identified", s.head.RequestID != "")
 }
 
-// send sends the request to an upstream and reads the head of the response.
-func (e *exchange) send(ctx context.Context, upstream topology.Upstream, params SendParams, maxIdle time.Duration) sendResult {
+// errNotTaken ends a send before its first byte: the upstream leaves or pauses since it was
+// selected.
+var errNotTaken = errors.New("the upstream takes no request any more")
+
+// send sends the request to an upstream and reads the head of the response. granted is set
+// if the request has a turn there.
+func (e *exchange) send(ctx context.Context, upstream topology.Upstream, granted bool, params SendParams) sendResult {
 	protocol := e.relay.config.Protocol
 	params.UpstreamID = upstream.ID
 	params.TimeLeft = e.timeLeft()
@@ -277,7 +282,13 @@
 		Body:   e.body,
 	}
 	sentAt := clock.Boot()
-	response, failed := e.exchangeOver(ctx, e.relay.config.Pools.RequestPool(upstream), request, maxIdle)
+	isTaken := func() error {
+		if _, ok := e.relay.config.Locator.Upstream(upstream.ID, granted); !ok {
+			return errNotTaken
+		}
+		return nil
+	}
+	response, failed := e.exchangeOver(ctx, e.relay.config.Pools.RequestPool(upstream), request, isTaken)
 	if response == nil {
 		return failed
 	}
@@ -303,14 +314,17 @@
 }
 
 // exchangeOver sends a request over a connection of a pool and reads the head of the
-// response. If there is none, it returns the failed send.
-func (e *exchange) exchangeOver(ctx context.Context, pool *hop.Pool, request *hop.Request, maxIdle time.Duration) (*hop.Response, sendResult) {
+// response. If there is none, it returns the failed send. isTaken, if not nil, is called
+// once there is a connection, which may take a while: the request isn't sent if it returns
+// an error.
+func (e *exchange) exchangeOver(ctx context.Context, pool *hop.Pool, request *hop.Request, isTaken func() error) (*hop.Response, sendResult) {
 	protocol := e.relay.config.Protocol
 	e.engineEvents, e.engineBeganAt, e.engineAnswers = 0, time.Time{}, false
 	response, err := pool.Send(ctx, request, hop.Options{
-		MaxIdle: maxIdle,
-		Avoid:   e.carriers,
-		ID:      e.call.ID,
+		MaxIdle:     e.maxIdle(),
+		Avoid:       e.carriers,
+		BeforeWrite: isTaken,
+		ID:          e.call.ID,
 		ResponseID: func(header http.Header) string {
 			return protocol.DecodeResponseHead(0, header).RequestID
 		},
--- a/internal/relay/model.go
+++ b/internal/relay/model.go
@@ -235,11 +235,11 @@
 	defer engines.EndRequest(id, e.call.Adapter, ticket != 0)
 	ctx, end := e.beginSend(e.ctx)
 	defer end()
-	result := e.send(ctx, upstream, SendParams{
+	result := e.send(ctx, upstream, ticket != 0, SendParams{
 		AdapterVersion: engines.HeldVersion(id, e.call.Adapter),
 		Priority:       e.route.Priority,
 		LastEventID:    e.lastEventID,
-	}, e.maxIdle())
+	})
 	e.countSend(result)
 	if result.err != nil {
 		return e.handleSendFailure(upstream, result)
@@ -308,6 +308,11 @@
 	if e.isCanceledByBlock() {
 		return e.withholdIfBlocked()
 	}
+	if errors.Is(result.err, errNotTaken) {
+		e.relay.log.Info("upstream takes no request any more, choosing another", "id", e.call.ID, "upstream", upstream.ID)
+		e.tried = append(e.tried, upstream.ID)
+		return false
+	}
 	e.relay.log.Info("send failed", "id", e.call.ID, "upstream", upstream.ID, "written", result.written, "error", result.err, result.logAttributes(), "fingerprint", e.subject.Fingerprint.String(), e.promptAttribute())
 	e.relay.config.Locator.RecordFailure(upstream.ID)
 	if result.written && !errors.Is(context.Cause(e.sendCtx), errTryTimeout) {
--- a/internal/relay/pass_on.go
+++ b/internal/relay/pass_on.go
@@ -117,7 +117,7 @@
 	}
 	response, failed := e.exchangeOver(ctx, pool, &hop.Request{
 		Method: e.call.Method, Target: e.call.Target, Host: e.call.Host, Header: protocol.PassOnHeader(e.call, params), Body: e.body,
-	}, e.maxIdle())
+	}, nil)
 	if response == nil {
 		return failed
 	}
--- a/internal/relay/plain.go
+++ b/internal/relay/plain.go
@@ -89,7 +89,7 @@
 	ctx, end := e.beginSend(ctx)
 	defer end()
 	started := time.Now()
-	result := e.send(ctx, upstream, SendParams{}, e.maxIdle())
+	result := e.send(ctx, upstream, true, SendParams{})
 	e.countSend(result)
 	if result.err != nil {
 		return e.handleSendFailure(upstream, result)
