locator: a pause that a process asks for before its registration is known holds for it

What an engine sees: it starts again under its identifier, refuses a request and asks for rest; its registration arrives after that, and it gets requests at once.

Cause: the answer counted as the earlier process's, whose pause ended with the registration of the later one.

Change: incarnations are start times. If the later process had started when the pause was asked for, the pause is its own.

Evidence: TestPauseOfProcessWhoseRegistrationComesLater failed before. In TestPauseHoldsForOneProcess the second process now starts after the statement, as the test means; its numbers 1 and 2 were no start times.

--- a/internal/locator/pause.go
+++ b/internal/locator/pause.go
@@ -7,10 +7,16 @@
 	"github.com/barleylift/barleylift/internal/pausing"
 )
 
+// maxClockSkew is how far the clocks of this VM and an upstream may differ. A pause is only
+// kept too long if they differ more.
+const maxClockSkew = time.Second
+
 // statedPause is the pause that a process of an upstream has asked this VM for.
 type statedPause struct {
 	pausing.Pause
 	incarnation int64
+	// statedAt is when it was last asked for, in Unix milliseconds as incarnation.
+	statedAt int64
 }
 
 // pauseOf returns the pause of an upstream. It outlives the upstream's registration, which
@@ -24,11 +30,16 @@
 	return p
 }
 
-// beginProcess ends the pause of an earlier process.
+// beginProcess ends the pause of an earlier process. If the later one had started when the
+// pause was asked for, it was the one that asked, before its registration was known.
 func (p *statedPause) beginProcess(incarnation int64) {
-	if incarnation > p.incarnation {
-		*p = statedPause{incarnation: incarnation}
+	if incarnation <= p.incarnation {
+		return
+	}
+	if incarnation > p.statedAt+maxClockSkew.Milliseconds() {
+		*p = statedPause{}
 	}
+	p.incarnation = incarnation
 }
 
 // RecordPause records that a process of an upstream wants nothing from this VM
@@ -42,7 +53,7 @@
 	if p.incarnation != incarnation {
 		return 0
 	}
-	p.Pause = p.Extended(clock.Boot(), length)
+	p.Pause, p.statedAt = p.Extended(clock.Boot(), length), time.Now().UnixMilli()
 	return p.Until()
 }
 
--- a/internal/locator/pause_test.go
+++ b/internal/locator/pause_test.go
@@ -12,9 +12,10 @@
 // leaves is apart from that.
 func TestPauseHoldsForOneProcess(t *testing.T) {
 	o := newOwner(t)
-	first := engine("e", nil)
+	const hour = int64(time.Hour / time.Millisecond)
+	first := engine("e", func(u *topology.Upstream) { u.Incarnation = time.Now().UnixMilli() - hour })
 	second := first
-	second.Incarnation = 2
+	second.Incarnation += 2 * hour
 	leaving := second
 	leaving.Leaving = true
 	available := func() bool {
@@ -27,11 +28,11 @@
 		want bool
 	}{
 		{"registered", func() { o.locator.SetUpstream(first) }, true},
-		{"asks for a pause", func() { o.locator.RecordPause("e", 1, time.Hour) }, false},
+		{"asks for a pause", func() { o.locator.RecordPause("e", first.Incarnation, time.Hour) }, false},
 		{"registered again", func() { o.locator.SetUpstream(first) }, false},
 		{"restarted", func() { o.locator.SetUpstream(second) }, true},
-		{"late answer of the first process", func() { o.locator.RecordPause("e", 1, time.Hour) }, true},
-		{"pauses again", func() { o.locator.RecordPause("e", 2, time.Hour) }, false},
+		{"late answer of the first process", func() { o.locator.RecordPause("e", first.Incarnation, time.Hour) }, true},
+		{"pauses again", func() { o.locator.RecordPause("e", second.Incarnation, time.Hour) }, false},
 		{"leaves in the pause", func() { o.locator.SetUpstream(leaving) }, false},
 	}
 	for _, step := range steps {
@@ -94,3 +95,30 @@
 		})
 	}
 }
+
+// A process may ask for a pause before its registration is known: then the answer seems to
+// be an earlier process's, but its start shows that it was the later one's.
+func TestPauseOfProcessWhoseRegistrationComesLater(t *testing.T) {
+	now := time.Now().UnixMilli()
+	for _, test := range []struct {
+		name     string
+		started  time.Duration
+		wantTook bool
+	}{
+		{"started before the statement", -500 * time.Millisecond, false},
+		{"started after the statement", 10 * time.Second, true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			o := newOwner(t)
+			earlier := engine("e", func(u *topology.Upstream) { u.Incarnation = now - time.Hour.Milliseconds() })
+			later := earlier
+			later.Incarnation = now + test.started.Milliseconds()
+			o.locator.SetUpstream(earlier)
+			o.locator.RecordPause("e", earlier.Incarnation, time.Hour)
+			o.locator.SetUpstream(later)
+			if _, took := o.locator.Upstream("e", false); took != test.wantTook {
+				t.Errorf("takes requests: %t, want %t", took, test.wantTook)
+			}
+		})
+	}
+}
