pausing: pauses of up to ten minutes are kept, before one

What an engine sees: it asks for five minutes of rest and gets all requests again after one. The bound is for wrong values, and was below plausible right ones.

Evidence: the new case of the table test failed before.

--- a/internal/pausing/pause.go
+++ b/internal/pausing/pause.go
@@ -7,8 +7,8 @@
 
 const (
 	// Max bounds one pause, so that a wrong value does not take an upstream away
-	// for long. It can ask again.
-	Max = time.Minute
+	// for hours. It can ask again.
+	Max = 10 * time.Minute
 	// MaxWait is how long a request waits for the end of a pause. A longer wait
 	// is left to the caller, whose connection would be held in vain.
 	MaxWait = 250 * time.Millisecond
--- a/internal/pausing/pause_test.go
+++ b/internal/pausing/pause_test.go
@@ -21,6 +21,7 @@
 		{"a later end holds", Pause{10 * second, 12 * second}, 11 * second, 5 * second, 16 * second, 19 * second},
 		{"an earlier end is ignored", Pause{10 * second, 14 * second}, 11 * second, second, 14 * second, 16 * second},
 		{"a new pause in the ramp", Pause{10 * second, 12 * second}, 12*second + 1, 2 * second, 14*second + 1, 15*second + 1},
+		{"minutes", Pause{}, 0, 5 * time.Minute, 5 * time.Minute, 5*time.Minute + maxRamp},
 		{"too long", Pause{}, 0, time.Hour, Max, Max + maxRamp},
 		{"very short", Pause{}, 0, time.Millisecond, time.Millisecond, time.Millisecond + minRamp},
 	}
