orders: an owner that claims an engine in a pause keeps to it

What an engine sees: it asks a VM for rest; that VM's daemon then becomes its owner, or learns of its later process, and sends orders and questions for reports, and admits other VMs' requests.

Cause: the owner learned of a pause at the moment at which it was asked for, and never after.

Change: it asks for the pause that its VM keeps when it begins, and when the engine's process changes.

--- a/internal/gateway/doc.go
+++ b/internal/gateway/doc.go
@@ -6,7 +6,8 @@
 // A Platform translates the formats of the surrounding system (the key-value
 // service, header fields, registrations) and does nothing else.
 //
-// Lock order: Gateway.mu before the locks of its parts; locator.Locator.mu and
+// Lock order: Gateway.mu before the locks of its parts; those of orders before
+// locator.Locator.mu; locator.Locator.mu and
 // quarantined.mu before those of the keeper and of peers. Gateway.mu, reach.mu and
 // quarantined.mu are not held together.
 package gateway
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -182,6 +182,7 @@
 		Client:       g.platform.Engines(g.pools, g.observeStatement),
 		Holder:       s.VM,
 		MayOrder:     g.keeper.MayOrder,
+		PausedUntil:  g.locator.PausedUntil,
 		ReportStatus: g.sendStatus,
 		CountOrder:   meters.EngineOrder,
 		CountReport:  meters.EngineReport,
--- a/internal/locator/pause.go
+++ b/internal/locator/pause.go
@@ -57,6 +57,17 @@
 	return p.Until()
 }
 
+// PausedUntil returns the end of the pause that an upstream has asked this VM for, by
+// clock.Boot; 0 for none.
+func (l *Locator) PausedUntil(id string) time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if p := l.pauses[id]; p != nil {
+		return p.Until()
+	}
+	return 0
+}
+
 // ForgetEndedPauses forgets the pauses after which the upstream gets all requests
 // again, and returns the upstreams.
 func (l *Locator) ForgetEndedPauses() []string {
--- a/internal/orders/pool.go
+++ b/internal/orders/pool.go
@@ -50,6 +50,9 @@
 	// MayOrder returns the fencing token for an order to an engine, and whether
 	// this daemon may send one at this moment.
 	MayOrder func(engine string) (fleet.Token, bool)
+	// PausedUntil returns the end of the pause that an engine has asked this VM for, by
+	// clock.Boot; 0 for none. It may be nil.
+	PausedUntil func(engine string) time.Duration
 	// ReportStatus sends the status of an admission request to its entry.
 	ReportStatus func(entry string, status AdmissionStatus)
 	// CountOrder and CountReport count calls to engines; they may be nil.
@@ -114,6 +117,9 @@
 	if config.CountOrder == nil {
 		config.CountOrder = func(string, string) {}
 	}
+	if config.PausedUntil == nil {
+		config.PausedUntil = func(string) time.Duration { return 0 }
+	}
 	if config.CountReport == nil {
 		config.CountReport = func(string) {}
 	}
--- a/internal/orders/worker.go
+++ b/internal/orders/worker.go
@@ -85,6 +85,7 @@
 		gate:           admission.NewGate(),
 		runningByEntry: make(map[string]entryRunning),
 		lastUsedAt:     make(map[string]time.Duration),
+		pausedUntil:    pool.config.PausedUntil(a.Engine.ID),
 	}
 	w.engine.Reset(a.Engine.Incarnation)
 	return w
@@ -105,7 +106,7 @@
 	w.mu.Lock()
 	if a.Engine.Incarnation > w.engine.Incarnation() {
 		w.log.Info("engine restarted, its state is reset", "born", a.Engine.Incarnation)
-		w.pausedUntil = 0
+		w.pausedUntil = w.pool.config.PausedUntil(a.Engine.ID)
 		w.engine.Reset(a.Engine.Incarnation)
 	}
 	if a.Engine.Incarnation > w.upstream.Incarnation {
