relay: a block is looked at again just before the first byte

What an engine could see: a request that was blocked between the check and the registration of its send was not canceled, and sent.

Evidence: the new case of TestRequestThatWaitsForAConnectionKeepsToWhatTheUpstreamSays failed before, for both services.

--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -282,13 +282,7 @@
 		Body:   e.body,
 	}
 	sentAt := clock.Boot()
-	isTaken := func() error {
-		if _, ok := e.relay.config.Locator.Upstream(upstream.ID, granted); !ok {
-			return errNotTaken
-		}
-		return nil
-	}
-	response, failed := e.exchangeOver(ctx, e.relay.config.Pools.RequestPool(upstream), request, isTaken)
+	response, failed := e.exchangeOver(ctx, e.relay.config.Pools.RequestPool(upstream), request, func() error { return e.lastCheck(upstream, granted) })
 	if response == nil {
 		return failed
 	}
@@ -313,17 +307,29 @@
 	return result
 }
 
+// lastCheck returns why the request must not be sent to an upstream any more, just before the
+// first byte: there was none when the upstream was selected, but the connection may have
+// taken a while.
+func (e *exchange) lastCheck(upstream topology.Upstream, granted bool) error {
+	if _, blocked := e.relay.config.Quarantine.IsBlocked(e.subject, e.verdict); blocked {
+		return errWithheld
+	}
+	if _, ok := e.relay.config.Locator.Upstream(upstream.ID, granted); !ok {
+		return errNotTaken
+	}
+	return nil
+}
+
 // exchangeOver sends a request over a connection of a pool and reads the head of the
-// response. If there is none, it returns the failed send. isTaken, if not nil, is called
-// once there is a connection, which may take a while: the request isn't sent if it returns
-// an error.
-func (e *exchange) exchangeOver(ctx context.Context, pool *hop.Pool, request *hop.Request, isTaken func() error) (*hop.Response, sendResult) {
+// response. If there is none, it returns the failed send. beforeWrite, if not nil, is called
+// once there is a connection; the request isn't sent if it returns an error.
+func (e *exchange) exchangeOver(ctx context.Context, pool *hop.Pool, request *hop.Request, beforeWrite func() error) (*hop.Response, sendResult) {
 	protocol := e.relay.config.Protocol
 	e.engineEvents, e.engineBeganAt, e.engineAnswers = 0, time.Time{}, false
 	response, err := pool.Send(ctx, request, hop.Options{
 		MaxIdle:     e.maxIdle(),
 		Avoid:       e.carriers,
-		BeforeWrite: isTaken,
+		BeforeWrite: beforeWrite,
 		ID:          e.call.ID,
 		ResponseID: func(header http.Header) string {
 			return protocol.DecodeResponseHead(0, header).RequestID
--- a/internal/relay/last_check_test.go
+++ b/internal/relay/last_check_test.go
@@ -8,10 +8,12 @@
 	"net/http/httptest"
 	"net/netip"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/barleylift/barleylift/internal/hop"
+	"github.com/barleylift/barleylift/internal/quarantine"
 	"github.com/barleylift/barleylift/internal/topology"
 )
 
@@ -30,8 +32,18 @@
 	return hop.Dial(ctx, address)
 }
 
+// blockable blocks all requests once it is told to. It cancels none.
+type blockable struct {
+	noQuarantine
+	isBlocked atomic.Bool
+}
+
+func (b *blockable) IsBlocked(request quarantine.Request, _ quarantine.Verdict) (quarantine.Key, bool) {
+	return quarantine.RequestKey(request.Fingerprint), b.isBlocked.Load()
+}
+
 // A request that waits for a connection is not sent to an upstream that has asked for a
-// pause or leaves meanwhile, and goes to another one or is refused.
+// pause or leaves meanwhile, nor to any if it is blocked.
 func TestRequestThatWaitsForAConnectionKeepsToWhatTheUpstreamSays(t *testing.T) {
 	said := map[string]func(r *Relay, u topology.Upstream){
 		"pause": func(r *Relay, u topology.Upstream) { r.config.Locator.RecordPause(u.ID, u.Incarnation, time.Hour) },
@@ -39,6 +51,7 @@
 			u.Leaving = true
 			r.config.Locator.SetUpstream(u)
 		},
+		"block": func(r *Relay, _ topology.Upstream) { r.config.Quarantine.(*blockable).isBlocked.Store(true) },
 	}
 	for name, say := range said {
 		for path, service := range map[string]string{"/p/": "api", "/s/": "lm"} {
@@ -46,7 +59,7 @@
 				u := startRawUpstream(t, func(u *rawUpstream, w io.Writer, _, _ int, id string) { u.run(w, id) })
 				r := newResendRelay(t, u)
 				pools := &gatedPools{dialing: make(chan struct{}), release: make(chan struct{})}
-				r.config.Pools = pools
+				r.config.Pools, r.config.Quarantine = pools, &blockable{}
 				request := httptest.NewRequest(http.MethodPost, path, strings.NewReader("body"))
 				request.Header.Set("Id", "r1")
 				w := httptest.NewRecorder()
--- a/internal/relay/model.go
+++ b/internal/relay/model.go
@@ -305,7 +305,7 @@
 	if e.ctx.Err() != nil {
 		return e.endIfExpired()
 	}
-	if e.isCanceledByBlock() {
+	if e.isCanceledByBlock() || errors.Is(result.err, errWithheld) {
 		return e.withholdIfBlocked()
 	}
 	if errors.Is(result.err, errNotTaken) {
