quarantine: a crash of a process whose registration is not known yet is one of its own

Cause: an engine that starts again under its identifier has its earlier process's start time for a daemon until its registration arrives, seconds in an outage of the key-value service. Its crashes were taken for reports of the earlier one, and the requests of all of them for suspects of one crash. Beside that, a request at two engines counted as alone there while the reports of the others were on their way.

Change: reports say how long the engine had the request. One that was sent after a known crash belongs to a later process. A request that is alone at two engines is blocked 30 ms after the crash, and its caller gets its answer then.

--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -63,7 +63,7 @@
 	}
 	suspect, suspected := g.uncleared(failure)
 	g.log.Info("engine ended under a request", "id", id, "upstream", upstream.ID, "born", upstream.Incarnation, "begun", failure.Begun,
-		"held_ms", suspect.HeldFor.Milliseconds(), "fingerprint", failure.Request.Fingerprint.String(), "suspected", suspect.Request != 0, "suspected_parts", len(suspect.Parts))
+		"held_ms", (failure.At - failure.SentAt).Milliseconds(), "fingerprint", failure.Request.Fingerprint.String(), "suspected", suspect.Request != 0, "suspected_parts", len(suspect.Parts))
 	if failure.Begun {
 		g.options.Meters.EngineCrash(upstream.Service)
 	}
@@ -71,10 +71,14 @@
 		return true
 	}
 	crash := quarantine.Crash{
-		Process: quarantine.Process{ID: upstream.ID, Incarnation: upstream.Incarnation}, At: failure.At, Suspects: []quarantine.Suspect{suspect},
+		Process: quarantine.Process{ID: upstream.ID, Incarnation: upstream.Incarnation}, At: failure.At, SentAt: failure.SentAt, Suspects: []quarantine.Suspect{suspect},
 	}
-	g.recordCrash(crash, "request "+id)
+	unsettled := g.recordCrash(crash, "request "+id)
 	go g.reportCrash(crash)
+	if unsettled {
+		// The caller's retry comes after this daemon's answer, and must meet the block.
+		clock.Sleep(ctx, quarantine.SettleTime)
+	}
 	return true
 }
 
@@ -89,12 +93,30 @@
 	return suspect, suspected
 }
 
-// recordCrash adds a crash to the table.
-func (g *Gateway) recordCrash(crash quarantine.Crash, source string) {
+// recordCrash adds a crash to the table, and reports whether more may be blocked because of
+// it once the reports of other daemons have arrived.
+func (g *Gateway) recordCrash(crash quarantine.Crash, source string) (unsettled bool) {
 	q := g.quarantined
 	q.mu.Lock()
 	changes := q.table.RecordCrash(clock.Boot(), crash)
 	q.mu.Unlock()
+	if changes.Unsettled {
+		time.AfterFunc(quarantine.SettleTime, g.reviewCrashes)
+	}
+	g.logChanges(changes, source)
+	return changes.Unsettled
+}
+
+// reviewCrashes decides anew when all reports of a crash have arrived.
+func (g *Gateway) reviewCrashes() {
+	q := g.quarantined
+	q.mu.Lock()
+	changes := q.table.Review(clock.Boot())
+	q.mu.Unlock()
+	g.logChanges(changes, "reports of all")
+}
+
+func (g *Gateway) logChanges(changes quarantine.Changes, source string) {
 	for _, key := range changes.Blocked {
 		g.logBlocked(key, source)
 	}
--- a/internal/gateway/quarantine_spread.go
+++ b/internal/gateway/quarantine_spread.go
@@ -102,9 +102,12 @@
 	message := &mesh.EngineCrash{
 		Engine: crash.Process.ID, Incarnation: crash.Process.Incarnation, Age: (clock.Boot() - crash.At).Milliseconds(),
 	}
+	if crash.SentAt != 0 {
+		message.HeldFor = max((crash.At - crash.SentAt).Milliseconds(), 1) // 0 is unknown
+	}
 	for _, suspect := range crash.Suspects {
 		if suspect.Request != 0 {
-			message.Requests = append(message.Requests, mesh.CrashRequest{Fingerprint: uint64(suspect.Request), HeldFor: suspect.HeldFor.Milliseconds()})
+			message.Requests = append(message.Requests, uint64(suspect.Request))
 		}
 		if len(suspect.Parts) == 0 {
 			continue
@@ -123,6 +126,9 @@
 		Process: quarantine.Process{ID: message.Engine, Incarnation: message.Incarnation},
 		At:      clock.Boot() - time.Duration(message.Age)*time.Millisecond,
 	}
+	if message.HeldFor != 0 {
+		crash.SentAt = crash.At - time.Duration(message.HeldFor)*time.Millisecond
+	}
 	for _, m := range message.Suspects {
 		suspect := quarantine.Suspect{Source: topology.PromptPart(m.Source), Begun: m.Begun}
 		for _, part := range m.Parts {
@@ -130,10 +136,8 @@
 		}
 		crash.Suspects = append(crash.Suspects, suspect)
 	}
-	for _, m := range message.Requests {
-		crash.Suspects = append(crash.Suspects, quarantine.Suspect{
-			Request: quarantine.Fingerprint(m.Fingerprint), HeldFor: time.Duration(m.HeldFor) * time.Millisecond,
-		})
+	for _, fingerprint := range message.Requests {
+		crash.Suspects = append(crash.Suspects, quarantine.Suspect{Request: quarantine.Fingerprint(fingerprint)})
 	}
 	return crash
 }
--- a/internal/mesh/packet.go
+++ b/internal/mesh/packet.go
@@ -55,14 +55,9 @@
 	Suspects    []CrashSuspect `cbor:"4,keyasint"`
 	// Requests lists the requests themselves, by their fingerprints. A daemon that doesn't
 	// know of these reads Suspects alone.
-	Requests []CrashRequest `cbor:"5,keyasint,omitempty"`
-}
-
-// CrashRequest is a request by its fingerprint. The engine had it for HeldFor, in
-// milliseconds.
-type CrashRequest struct {
-	Fingerprint uint64 `cbor:"1,keyasint"`
-	HeldFor     int64  `cbor:"2,keyasint,omitempty"`
+	Requests []uint64 `cbor:"5,keyasint,omitempty"`
+	// HeldFor is how long the engine had the suspects, in milliseconds; 0 if unknown.
+	HeldFor int64 `cbor:"6,keyasint,omitempty"`
 }
 
 // CrashSuspect is a request by the parts of its prompt. Source is the last part. Begun
--- a/internal/quarantine/block.go
+++ b/internal/quarantine/block.go
@@ -34,8 +34,8 @@
 	// triedAt is when a request was last let through, or an engine last crashed on the
 	// key.
 	triedAt time.Duration
-	// isAmbiguous is set if the evidence speaks against others too, and isEarly if it is
-	// only enough as it doesn't.
+	// isAmbiguous is set if others were at the same engines, and isEarly if the evidence
+	// suffices only because none was.
 	isAmbiguous, isEarly bool
 	// refused counts the requests refused because of the key, and passed those without
 	// a blocked key in the same time.
@@ -157,7 +157,7 @@
 // Block adds a block that another daemon knows since a time, and reports whether it is
 // new. An answer on the key since then is stronger, and so is one between its crashes.
 func (t *Table) Block(now, since time.Duration, key Key) bool {
-	isOutdated := t.answeredAt[key] > since || t.unblockedAt[key] > since || now-since > blockTTL
+	isOutdated := max(t.answeredAt[key], t.unblockedAt[key]) > since || now-since > blockTTL
 	if isOutdated || t.blocks[key] != nil || t.isRefuted(key) {
 		return false
 	}
--- a/internal/quarantine/evidence.go
+++ b/internal/quarantine/evidence.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"cmp"
 	"slices"
 	"time"
 )
@@ -24,7 +25,10 @@
 	// together, whatever they serve.
 	instant = 100 * time.Millisecond
 	// reportJitter is how far daemons' times of one crash may differ.
-	reportJitter = 20 * time.Millisecond
+	reportJitter = 2 * time.Millisecond
+	// SettleTime is how long after a crash the reports of all daemons have arrived, as a
+	// rule. Before, a request may only seem to be alone at the engines.
+	SettleTime = 30 * time.Millisecond
 )
 
 // evidence is what speaks against one key.
@@ -117,6 +121,17 @@
 // Changes are the keys that are blocked, and those that are no longer, after a crash.
 type Changes struct {
 	Blocked, Unblocked []Key
+	// Unsettled is set if more may be blocked after SettleTime; see Table.Review.
+	Unsettled bool
+}
+
+// Review returns what is blocked now that the reports of the last crash have arrived, and
+// what is not any more.
+func (t *Table) Review(now time.Duration) Changes {
+	if len(t.crashes) == 0 {
+		return Changes{}
+	}
+	return t.explain(now)
 }
 
 // explain finds the keys that explain the crashes: the one with the most crashes first, and
@@ -126,17 +141,19 @@
 	explained := make(map[*record]bool)
 	found := make(map[Key]bool)
 	for {
-		strongest := t.strongest(explained)
+		strongest, unsettled := t.strongest(now, explained)
+		changes.Unsettled = changes.Unsettled || unsettled
 		if len(strongest) == 0 {
 			break
 		}
 		for _, e := range strongest {
 			found[e.key] = true
 			if t.blocks[e.key] == nil {
-				t.addBlock(e.key, &block{since: e.crashes[len(e.crashes)-1].at, triedAt: now})
+				t.addBlock(e.key, &block{since: e.last().at, triedAt: now})
 				changes.Blocked = append(changes.Blocked, e.key)
 			}
-			t.blocks[e.key].isAmbiguous, t.blocks[e.key].isEarly = len(strongest) > 1, !e.isEnough()
+			b := t.blocks[e.key]
+			b.isAmbiguous, b.isEarly = b.isAmbiguous || len(strongest) > 1, !e.isEnough()
 		}
 		for _, e := range strongest {
 			t.markExplained(e.key, explained)
@@ -163,25 +180,53 @@
 
 // strongest returns the keys that come next: the one with the most crashes that are not
 // explained, among those that are blocked or have enough evidence, and those that were at
-// the same engines, which nothing tells from it.
-func (t *Table) strongest(explained map[*record]bool) (found []*evidence) {
-	var best *evidence
+// the same engines, which nothing tells from it. unsettled is set if another one may have
+// enough once all reports have arrived.
+func (t *Table) strongest(now time.Duration, explained map[*record]bool) (found []*evidence, unsettled bool) {
+	var candidates []*evidence
 	all := t.evidence(explained)
 	for _, e := range all {
-		if t.mayExplain(e, all) && (best == nil || len(e.crashes) > len(best.crashes)) {
-			best = e
+		switch {
+		case t.blocks[e.key] != nil || e.isEnough():
+			candidates = append(candidates, e)
+		case !e.isEnoughAlone() || !isAlone(e, all):
+		case now-e.last().at >= SettleTime:
+			candidates = append(candidates, e)
+		default:
+			unsettled = true
 		}
 	}
-	if best == nil {
-		return nil
+	if len(candidates) == 0 {
+		return nil, unsettled
 	}
-	for _, e := range all {
-		if t.mayExplain(e, all) && slices.Equal(e.crashes, best.crashes) {
+	slices.SortFunc(candidates, t.compareStrength)
+	for _, e := range candidates {
+		if slices.Equal(e.crashes, candidates[0].crashes) {
 			found = append(found, e)
 		}
 	}
-	slices.SortFunc(found, func(a, b *evidence) int { return compareKeys(a.key, b.key) })
-	return t.narrowest(found)
+	return t.narrowest(found), unsettled
+}
+
+// compareStrength orders what has more crashes first, and of as many what is blocked.
+func (t *Table) compareStrength(a, b *evidence) int {
+	isBlocked := func(e *evidence) int {
+		if t.blocks[e.key] != nil {
+			return 1
+		}
+		return 0
+	}
+	return cmp.Or(cmp.Compare(len(b.crashes), len(a.crashes)), cmp.Compare(isBlocked(b), isBlocked(a)), compareKeys(a.key, b.key))
+}
+
+// isEnoughAlone reports whether the evidence against a request suffices if no other one was
+// at the same engines.
+func (e *evidence) isEnoughAlone() bool {
+	return e.key.Kind == WholeRequest && e.repetitions() >= blockingCrashesAlone
+}
+
+func (e *evidence) last() *record {
+	return e.crashes[len(e.crashes)-1]
 }
 
 // isAlone reports whether no other request was at all crashes of one.
@@ -208,10 +253,3 @@
 		return e.key.Kind == PromptPart && len(e.sources) < blockingSources && t.blocks[e.key] == nil
 	})
 }
-
-func (t *Table) mayExplain(e *evidence, all map[Key]*evidence) bool {
-	if t.blocks[e.key] != nil || e.isEnough() {
-		return true
-	}
-	return e.key.Kind == WholeRequest && e.repetitions() >= blockingCrashesAlone && isAlone(e, all)
-}
--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -38,8 +38,6 @@
 type Suspect struct {
 	// Request identifies the request; 0 if it is not suspected itself, or not known.
 	Request Fingerprint
-	// HeldFor is how long the engine had the request.
-	HeldFor time.Duration
 	// Source identifies the request or its session: the last part of its prompt.
 	Source topology.PromptPart
 	// Parts are the other parts.
@@ -49,10 +47,12 @@
 	Begun bool
 }
 
-// Crash is the end of an engine's process. At is a reading of the table's clock.
+// Crash is the end of an engine's process. Times are readings of the table's clock.
 type Crash struct {
-	Process  Process
-	At       time.Duration
+	Process Process
+	At      time.Duration
+	// SentAt is when the suspects were sent there; 0 if it is not known.
+	SentAt   time.Duration
 	Suspects []Suspect
 }
 
@@ -67,7 +67,7 @@
 
 // Suspect returns the suspect that the request is if the engine's process has ended.
 func (f Failure) Suspect() Suspect {
-	s := Suspect{Request: f.Request.Fingerprint, HeldFor: f.At - f.SentAt, Parts: f.Request.SharedParts(), Begun: f.Begun}
+	s := Suspect{Request: f.Request.Fingerprint, Parts: f.Request.SharedParts(), Begun: f.Begun}
 	if prompt := f.Request.Prompt; len(prompt) > 0 {
 		s.Source = prompt[len(prompt)-1]
 	}
@@ -139,7 +139,7 @@
 	r := t.recordOf(crash)
 	isNew := false
 	for _, suspect := range crash.Suspects {
-		if r.add(suspect, crash.At) {
+		if r.add(suspect, crash.SentAt) {
 			isNew = true
 		}
 		t.recordCrashOfBlocked(now, crash.At, suspect)
@@ -169,9 +169,13 @@
 	return r
 }
 
+// findRecord returns the record of a crash that is known. If its request was sent after
+// the recorded crash, a later process has ended, whose registration was not known yet.
 func (t *Table) findRecord(crash Crash) *record {
 	for _, r := range t.crashes {
-		if r.process == crash.Process && (crash.Process.Incarnation != 0 || (r.at-crash.At).Abs() < sameCrash) {
+		isLater := crash.SentAt > r.at+instant
+		isClose := crash.Process.Incarnation != 0 || (r.at-crash.At).Abs() < sameCrash
+		if r.process == crash.Process && isClose && !isLater {
 			return r
 		}
 	}
@@ -179,7 +183,7 @@
 }
 
 // add adds a suspect and reports whether it brings anything new.
-func (r *record) add(suspect Suspect, at time.Duration) (isNew bool) {
+func (r *record) add(suspect Suspect, sentAt time.Duration) (isNew bool) {
 	parts := r.waiting
 	if suspect.Begun {
 		parts = r.begun
@@ -190,7 +194,7 @@
 	if suspect.Request != 0 {
 		key := RequestKey(suspect.Request)
 		isNew = addSource(r.requests, key, suspect.Source) || isNew
-		r.sentAt[key] = max(r.sentAt[key], at-suspect.HeldFor)
+		r.sentAt[key] = max(r.sentAt[key], sentAt)
 	}
 	if isNew {
 		r.all = nil
