quarantine: a blocked request stays blocked when another one explains its crashes

Cause: the rule is made for prompt parts, whose block refuses sound requests. A request's block refuses itself alone.

--- a/internal/quarantine/evidence.go
+++ b/internal/quarantine/evidence.go
@@ -135,8 +135,9 @@
 }
 
 // explain finds the keys that explain the crashes: the one with the most crashes first, and
-// then those that explain the others. It blocks them if there is enough evidence, and lifts
-// the blocks of keys all of whose crashes others explain.
+// then those that explain the others. It blocks them if there is enough evidence. Where others
+// explain all crashes of a blocked key, it lifts the block of a part, which would refuse
+// sound requests; a request may be a cause as well, and is tried soon.
 func (t *Table) explain(now time.Duration) (changes Changes) {
 	explained := make(map[*record]bool)
 	found := make(map[Key]bool)
@@ -161,7 +162,12 @@
 	}
 	for key, e := range t.evidence(nil) {
 		isExplained := !slices.ContainsFunc(e.crashes, func(r *record) bool { return !explained[r] })
-		if t.blocks[key] != nil && !found[key] && isExplained {
+		b := t.blocks[key]
+		switch {
+		case b == nil || found[key] || !isExplained:
+		case key.Kind == WholeRequest:
+			b.isAmbiguous = true
+		default:
 			delete(t.blocks, key)
 			t.unblockedAt[key] = now
 			changes.Unblocked = append(changes.Unblocked, key)
--- a/internal/quarantine/request_test.go
+++ b/internal/quarantine/request_test.go
@@ -174,6 +174,13 @@
 				panic("blocked again by a daemon that doesn't know of the answer")
 			}
 		}, []Fingerprint{bad}},
+		{"another one explains all crashes of a blocked one", func(e *events) {
+			for range 3 {
+				e.end(held, bad, beside)
+				e.pass(time.Second)
+			}
+			e.end(held, bad)
+		}, []Fingerprint{bad, beside}},
 		{"two at once", func(e *events) {
 			for range 3 {
 				e.end(held, bad)
@@ -237,6 +244,9 @@
 		}
 		if tried == bad {
 			e.end(0, bad)
+			if v := judge(e, beside); !v.Trial {
+				t.Errorf("%+v, want a trial of the one that the crashes no longer single out", v)
+			}
 		}
 		e.answerRequest(beside)
 		if got := e.blockedRequests(); !slices.Equal(got, []Fingerprint{bad}) {
