--- a/internal/promise/faults_test.go
+++ b/internal/promise/faults_test.go
@@ -4,6 +4,7 @@
 	"flag"
 	"net/http"
 	"os"
+	"path/filepath"
 	"slices"
 	"strings"
 	"sync"
@@ -396,5 +397,47 @@
 		}
 		b.WriteString("\n")
 	}
+	b.WriteString(`
+## Role gateway
+
+What callers get in the role that runs on the users' platform, and the test in platform/ that injects the fault. CI checks
+that these tests exist.
+
+| fault | what callers get | test |
+|---|---|---|
+`)
+	for _, f := range gatewayFaults {
+		b.WriteString("| " + f.name + " | " + f.outcome + " | " + f.test + " |\n")
+	}
 	return b.String()
 }
+
+// gatewayFaults are the faults of upstreams and links in the role gateway that callers notice.
+var gatewayFaults = []struct{ name, outcome, test string }{
+	{"an upstream says in its answers that it leaves", "answers of others; running ones are finished", "TestLeavingStatedInAnswersStopsNewRequests"},
+	{"an upstream refuses and asks for a pause", "answers of others", "TestPausingUpstreamGetsNothing"},
+	{"all upstreams ask for pauses", "503 at once, to come back after the pauses", "TestRequestsAreRefusedWhileAllUpstreamsPause"},
+	{"engines crash on a prompt part", "503 at once for requests with the part, answers for others", "TestRequestsWithCrashingPromptPartStopReachingEngines"},
+	{"engines crash under a request that comes again", "503 at once for the request, answers for others", "TestRepeatedRequestThatCrashesEnginesStopsReachingThem"},
+	{"a VM loses its links to all upstreams", "answers through other VMs", "TestCallersOfVMsCutOffFromEnginesAreServed"},
+}
+
+func TestFaultsOfRoleGatewayHaveTests(t *testing.T) {
+	files, err := filepath.Glob("../../platform/*_test.go")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var tests strings.Builder
+	for _, name := range files {
+		text, err := os.ReadFile(name)
+		if err != nil {
+			t.Fatal(err)
+		}
+		tests.Write(text)
+	}
+	for _, f := range gatewayFaults {
+		if !strings.Contains(tests.String(), "func "+f.test+"(") {
+			t.Errorf("%s: no test %s", f.name, f.test)
+		}
+	}
+}
