--- a/internal/relay/last_check_test.go
+++ b/internal/relay/last_check_test.go
@@ -17,7 +17,7 @@
 	"github.com/barleylift/barleylift/internal/topology"
 )
 
-// gatedPools opens connections only when it is told to.
+// gatedPools opens connections only once release is closed.
 type gatedPools struct {
 	dialing, release chan struct{}
 }
@@ -32,7 +32,7 @@
 	return hop.Dial(ctx, address)
 }
 
-// blockable blocks all requests once it is told to. It cancels none.
+// blockable blocks all requests once isBlocked is set. It cancels none.
 type blockable struct {
 	noQuarantine
 	isBlocked atomic.Bool
