gateway: upstreams that leave just after an outage are removed in time

Cause: registrations that are missing after an outage are waited for, for 2.2 s.

Change: the wait begins when the watch finds the service back, if it has noticed the outage, and ends by a timer.

Evidence: TestOutageEndsWhenTheServiceIsBack failed with the former rule (13 s, want 12 s).

--- a/internal/gateway/apply.go
+++ b/internal/gateway/apply.go
@@ -123,6 +123,9 @@
 	if registered {
 		g.log.Info("upstream has no valid registration, removal scheduled", "upstream", id, "counts_as_gone_in_ms", (due - now).Milliseconds())
 		g.removeExpired()
+		if due > now {
+			time.AfterFunc(due-now, g.removeExpired)
+		}
 	}
 }
 
@@ -158,14 +161,14 @@
 	g.storeDown.Store(!reachable)
 }
 
-// noteStoreReturn notes the end of an outage that only the lease renewals have
-// met, as this daemon did not poll its watch meanwhile.
+// noteStoreReturn notes the end of an outage, of which the watch or the lease have learned.
 func (g *Gateway) noteStoreReturn() {
-	isLost := g.storeDisconnected()
-	if g.storeWasLost && !isLost {
-		g.storeRegainedAt.Store(max(g.storeRegainedAt.Load(), int64(clock.Boot())))
+	watched := g.storeRegainedAt.Load()
+	regained := int64(g.outage.regainedAt(clock.Boot(), g.storeDisconnected(), time.Duration(watched)))
+	if regained != watched {
+		// If the watch has found the service back meanwhile, that holds.
+		g.storeRegainedAt.CompareAndSwap(watched, regained)
 	}
-	g.storeWasLost = isLost
 }
 
 func (g *Gateway) signalReassign() {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -79,11 +79,10 @@
 	// polls, and copyWasProven is what was last logged of that.
 	completeness  completeness
 	copyWasProven atomic.Bool
-	// lastCheckpointAt is when this daemon last sent checkpoints, and storeWasLost
-	// is set while it can't reach the service. Only the goroutine of the heartbeats
-	// uses them.
+	// lastCheckpointAt is when this daemon last sent checkpoints. Only the goroutine of the
+	// heartbeats uses it and outage.
 	lastCheckpointAt time.Duration
-	storeWasLost     bool
+	outage           storeOutage
 	// era is the era of the key-value service that was applied last.
 	era atomic.Int64
 
