--- a/internal/gateway/outage_test.go
+++ b/internal/gateway/outage_test.go
@@ -30,7 +30,7 @@
 			var o storeOutage
 			var got time.Duration
 			for _, step := range test.steps {
-				got = o.regainedAt(step.at, step.isLost, step.watchRegainedAt)
+				got = o.regainedAt(step.at, step.isLost, max(got, step.watchRegainedAt))
 			}
 			if got != test.want {
 				t.Errorf("back at %v, want %v", got, test.want)
