--- a/internal/quarantine/block.go
+++ b/internal/quarantine/block.go
@@ -34,8 +34,8 @@
 	// triedAt is when a request was last let through, or an engine last crashed on the
 	// key.
 	triedAt time.Duration
-	// isAmbiguous is set if others were at the same engines, and isEarly if the evidence
-	// suffices only because none was.
+	// isAmbiguous is set if others were at the same engines or explain the crashes, and
+	// isEarly if the evidence suffices only because none was there.
 	isAmbiguous, isEarly bool
 	// refused counts the requests refused because of the key, and passed those without
 	// a blocked key in the same time.
