--- a/internal/quarantine/doc.go
+++ b/internal/quarantine/doc.go
@@ -10,6 +10,7 @@
 // A key, which is a part or a request, is blocked once engines have crashed several times
 // under it and have not answered it since. A part must have been there with several
 // sessions; a request's crashes count separately if it was sent to the engine after the
-// crash before, and fewer suffice if no other request was there. Crashes at one instant, as of a rack, count once otherwise, and a crash
-// that a blocked key explains does not count against others.
+// crash before, and fewer suffice if no other request was there. Crashes at one instant,
+// as of a rack, count once otherwise, and a crash that a blocked key explains does not
+// count against others.
 package quarantine
