mirror: a key that is created right after it was missing is delivered

Traced: the history was compacted while vm-2 was replaced. vm-1 read all keys again between the deletion of vm-2's member key and its creation, and recorded the deletion at the revision after the read's. The creation had just that revision, and was taken for one that the copy reflects. vm-1 sent vm-2 no heartbeats, so each looked dead to the other.

Change: the deletion is recorded at the read's own revision. A key that changed at that revision and is missing was deleted later, which the watch delivers.

Evidence: TestKeyCreatedRightAfterItWasMissingIsDelivered failed before.

--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -228,7 +228,7 @@
 	missing := 0
 	for key, last := range m.delivered {
 		if !present[key] && !last.deleted && last.revision <= result.Revision {
-			changes = append(changes, Change{Entry: infra.Entry{Key: key, ModRevision: result.Revision + 1}, Deleted: true})
+			changes = append(changes, Change{Entry: infra.Entry{Key: key, ModRevision: result.Revision}, Deleted: true})
 			missing++
 		}
 	}
--- a/internal/mirror/mirror_test.go
+++ b/internal/mirror/mirror_test.go
@@ -177,3 +177,27 @@
 		}
 	})
 }
+
+// A key that was missing when all keys were read again may be created at the very next
+// revision: the change is new.
+func TestKeyCreatedRightAfterItWasMissingIsDelivered(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		kv := fake.NewKV()
+		put(t, kv, "p/member", "1")
+		_, c := start(t, kv)
+		synctest.Wait()
+		kv.SetDown(true)
+		synctest.Wait()
+		kv.SetDown(false)
+		if _, err := kv.Txn(t.Context(), infra.Txn{Then: []infra.Op{infra.Delete("p/member")}}); err != nil {
+			t.Fatal(err)
+		}
+		kv.Compact()
+		time.Sleep(2 * maxRetryPause)
+		synctest.Wait()
+		checkCopy(t, c, map[string]string{})
+		put(t, kv, "p/member", "2")
+		synctest.Wait()
+		checkCopy(t, c, map[string]string{"p/member": "2"})
+	})
+}
