--- a/internal/mesh/packet.go
+++ b/internal/mesh/packet.go
@@ -32,6 +32,31 @@
 	EngineCrash  *EngineCrash  `cbor:"16,keyasint,omitempty"`
 	// UpstreamPause keeps all daemons from an upstream for a moment.
 	UpstreamPause *UpstreamPause `cbor:"17,keyasint,omitempty"`
+	// Entries are typed entries of the dissemination between daemons.
+	Entries []Entry `cbor:"18,keyasint,omitempty"`
+	// ExchangeRequest and ExchangeReply are the periodic exchange with a coordinator.
+	ExchangeRequest *ExchangeRequest `cbor:"19,keyasint,omitempty"`
+	ExchangeReply   *ExchangeReply   `cbor:"20,keyasint,omitempty"`
+}
+
+// Entry is one typed entry of the dissemination. A receiver skips kinds that it doesn't
+// know. Body is the CBOR encoding of the kind's message.
+type Entry struct {
+	Kind uint32 `cbor:"1,keyasint"`
+	Body []byte `cbor:"2,keyasint,omitempty"`
+}
+
+// ExchangeRequest begins an exchange with a coordinator. SentAt is the sender's reading of
+// clock.Boot, in nanoseconds.
+type ExchangeRequest struct {
+	SentAt  int64   `cbor:"1,keyasint"`
+	Entries []Entry `cbor:"2,keyasint,omitempty"`
+}
+
+// ExchangeReply answers an ExchangeRequest. EchoedSentAt is the request's SentAt.
+type ExchangeReply struct {
+	EchoedSentAt int64   `cbor:"1,keyasint"`
+	Entries      []Entry `cbor:"2,keyasint,omitempty"`
 }
 
 // UpstreamPause says that a fragile process of an upstream has refused a request, how long
--- a/internal/routing/config.go
+++ b/internal/routing/config.go
@@ -34,6 +34,32 @@
 	Routes   []Route
 	Services []Service
 	Limits   Limits
+	// RequiresKeys is set if callers need an API key on routes that are not public.
+	RequiresKeys bool
+	Customers    []Customer
+}
+
+// Customer is an organization whose callers hold API keys.
+type Customer struct {
+	Name string
+	Keys []string
+	// Priority replaces the priority of the routes if HasPriority is set; 0 is the most
+	// urgent.
+	Priority    int
+	HasPriority bool
+	Quota       Quota
+}
+
+// Quota bounds what a customer's callers use over all VMs.
+type Quota struct {
+	// Rate is the bound per second, and Burst what may be used at once beyond it; a Rate
+	// of 0 means no bound.
+	Rate  float64
+	Burst float64
+	// Tokens is set if requests count by their tokens, and otherwise each counts 1.
+	Tokens bool
+	// PlainTokens is the count of a request that states no tokens.
+	PlainTokens int64
 }
 
 // Route maps a host and a path prefix to services.
@@ -57,6 +83,8 @@
 	Shares []Share
 	// MaxAttempts is the number of upstreams on which one request may run.
 	MaxAttempts int
+	// Public is set if callers need no API key.
+	Public bool
 	// Resumable is set if a stream may continue at another engine after its last
 	// event.
 	Resumable bool
