Customers and API keys in the routing table and the configuration

The operator's configuration may hold customers with API keys, priorities and quotas, and public routes. Malformed customers are rejected with a routing.ConfigError that names the field and shows no key.

A configuration that is delivered unchanged is not decoded again. Its update says so, as the gateway would otherwise take it for a change of an unknown key and forward it, with the keys, to other daemons.

--- a/internal/gateway/apply.go
+++ b/internal/gateway/apply.go
@@ -69,7 +69,8 @@
 		return
 	}
 	g.options.Meters.Version(config.Version)
-	g.log.Info("configuration in force", "version", config.Version, "routes", len(config.Routes), "services", len(config.Services))
+	g.log.Info("configuration in force", "version", config.Version, "routes", len(config.Routes), "services", len(config.Services),
+		"requires_keys", config.RequiresKeys, "customers", len(config.Customers))
 	g.signalReassign()
 }
 
--- a/internal/gateway/platform.go
+++ b/internal/gateway/platform.go
@@ -59,6 +59,8 @@
 type Update struct {
 	// Config is a version of the operator's configuration.
 	Config *routing.Config
+	// ConfigUnchanged is set for a configuration that is the last decoded one.
+	ConfigUnchanged bool
 	// Upstream is a registration of an engine or replica.
 	Upstream *topology.Upstream
 	// RemovedUpstream identifies an upstream without a valid registration.
--- a/internal/gateway/watchers.go
+++ b/internal/gateway/watchers.go
@@ -115,7 +115,8 @@
 		return urgent
 	}
 	switch {
-	case decodeErr != nil || update.Config != nil:
+	case decodeErr != nil || update.Config != nil || update.ConfigUnchanged:
+		// A configuration is never forwarded: it holds API keys.
 		return routine
 	case update.Version != nil:
 		return urgent
--- a/internal/routing/config.go
+++ b/internal/routing/config.go
@@ -42,6 +42,7 @@
 // Customer is an organization whose callers hold API keys.
 type Customer struct {
 	Name string
+	// Keys holds the texts of the API keys; it is empty in a Table.
 	Keys []string
 	// Priority replaces the priority of the routes if HasPriority is set; 0 is the most
 	// urgent.
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -15,6 +15,9 @@
 	limits   Limits
 	hosts    map[string]map[string]*Route
 	services map[string]*Service
+	// requiresKeys is set if callers need an API key.
+	requiresKeys bool
+	customers    customers
 }
 
 // ConfigError reports an invalid field of a configuration.
@@ -36,6 +39,12 @@
 		limits:   config.Limits,
 		hosts:    make(map[string]map[string]*Route),
 		services: make(map[string]*Service, len(config.Services)),
+
+		requiresKeys: config.RequiresKeys,
+	}
+	var err error
+	if t.customers, err = newCustomers(config.Customers); err != nil {
+		return nil, err
 	}
 	for i := range config.Services {
 		t.services[config.Services[i].Name] = &config.Services[i]
