relay: API keys of callers are checked and replaced by the customer

Where the table requires keys, a request is authenticated after its route is found (401), and again, against the newest table, before each attempt and just before its first byte. Upstreams get the customer's name in X-Tenant, and neither Authorization nor the caller's X-Tenant. A request that is passed on keeps its key, which the other VM checks; a refusal of a VM with an older configuration is not final. The customer's priority replaces the route's, and the cost for its quota is decoded.

The fingerprint of a request, which is logged and sent to other VMs, is made from the customer's name instead of Authorization where keys are required. Deployments without customers are served as before. go test -race ./internal/relay passes.

--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -28,6 +28,13 @@
 	// subject is what the request is known by when engines crash under it.
 	subject   quarantine.Request
 	arrivedAt time.Time
+	// keysRequired is set if callers need API keys. customer holds the request's key, nil if
+	// nobody does, and cost is what the request counts for the customer's quota.
+	keysRequired bool
+	customer     *routing.Customer
+	cost         int64
+	// keyTable is the table against which the API key was checked last.
+	keyTable *routing.Table
 	// ctx is done when the caller disconnects or the deadline passes.
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -106,19 +113,24 @@
 	}
 	e := &exchange{
 		relay: relay, w: w, request: request, call: call, table: table, route: route, body: body, arrivedAt: arrived, passedOn: passedOn,
-		subject: quarantine.Request{
-			Fingerprint: quarantine.NewFingerprint(call.Method, call.Host, call.Target, call.Caller, body), Prompt: call.PromptParts,
-		},
 		deadline:    arrived.Add(min(timeout, route.Timeout)),
 		lastEventID: call.LastEventID,
 	}
 	e.service = table.Service(route.PickService(call.ID))
 	e.ctx, e.cancel = context.WithDeadline(request.Context(), e.deadline)
-	if passedOn || !relay.config.Peers.CutOff() {
+	return e
+}
+
+// accept prepares the request of a caller that may use the route.
+func (e *exchange) accept() {
+	call := e.call
+	e.subject = quarantine.Request{
+		Fingerprint: quarantine.NewFingerprint(call.Method, call.Host, call.Target, e.callerText(), e.body), Prompt: call.PromptParts,
+	}
+	if e.passedOn || !e.relay.config.Peers.CutOff() {
 		// The VM that sends the request to upstreams counts it for its repeated sends.
-		relay.config.Budget(e.service.Name).Deposit(monotonicNow())
+		e.relay.config.Budget(e.service.Name).Deposit(monotonicNow())
 	}
-	return e
 }
 
 // finish logs and counts the request. It closes the caller's connection if the
@@ -130,7 +142,7 @@
 	if e.call.LastEventID != "" {
 		e.relay.log.Info("request resumes a stream", "id", e.call.ID, "first_try", e.call.FirstTry, "last_event", e.call.LastEventID, "software", e.softwareVersion)
 	}
-	e.relay.log.Info("request ended", "id", e.call.ID, "route", e.route.Name, "version", e.table.Version(), "outcome", e.outcome,
+	e.relay.log.Info("request ended", "id", e.call.ID, "route", e.route.Name, "customer", e.customerName(), "version", e.table.Version(), "outcome", e.outcome,
 		"status", e.status, "reason", e.reason, "upstream", e.upstreamID, "adapter", e.call.Adapter.String(), "sends", e.sends, "runs", e.possibleRuns,
 		"events", e.events, "first_ms", e.timeToFirstEvent.Milliseconds(), "pause_ms", e.maxEventGap.Milliseconds(), "waited_ms", e.admissionWait.Milliseconds(), "took_ms", took.Milliseconds())
 	if e.outcome == outcomeBroken || e.outcome == outcomeCallerLeft {
@@ -140,14 +152,20 @@
 
 // Outcomes of a request, in logs and metrics.
 const (
-	outcomeAnswered   = "answered"
-	outcomeRefused    = "refused"
-	outcomeUnknown    = "unknown"
-	outcomeBroken     = "broken"
-	outcomeCallerLeft = "caller left"
+	outcomeAnswered     = "answered"
+	outcomeRefused      = "refused"
+	outcomeUnauthorized = "unauthorized"
+	outcomeMalformed    = "malformed"
+	outcomeUnknown      = "unknown"
+	outcomeBroken       = "broken"
+	outcomeCallerLeft   = "caller left"
 )
 
 func (e *exchange) serve() {
+	if e.refuseCaller() {
+		return
+	}
+	e.accept()
 	if e.refuseIfBlocked() || e.refusePassedOn() {
 		return
 	}
@@ -274,6 +292,7 @@
 	protocol := e.relay.config.Protocol
 	params.UpstreamID = upstream.ID
 	params.TimeLeft = e.timeLeft()
+	params.KeysRequired, params.Customer = e.keysRequired, e.customerName()
 	request := &hop.Request{
 		Method: e.call.Method,
 		Target: e.call.Target,
@@ -311,6 +330,9 @@
 // first byte: there was none when the upstream was selected, but the connection may have
 // taken a while.
 func (e *exchange) lastCheck(upstream topology.Upstream, granted bool) error {
+	if err := e.checkKey(); err != nil {
+		return err
+	}
 	if _, blocked := e.relay.config.Quarantine.IsBlocked(e.subject, e.verdict); blocked {
 		return errWithheld
 	}
--- a/internal/relay/model.go
+++ b/internal/relay/model.go
@@ -55,7 +55,7 @@
 // serveModel sends the request to engines until one has responded or the
 // request has ended.
 func (e *exchange) serveModel() {
-	for !e.endIfExpired() {
+	for !e.endIfExpired() && !e.endIfKeyRevoked() {
 		if handled, ended := e.passOn(); ended {
 			return
 		} else if handled {
@@ -126,7 +126,7 @@
 		Ticket:         ticket,
 		Adapter:        e.call.Adapter,
 		PromptTokens:   e.call.PromptTokens,
-		Priority:       e.route.Priority,
+		Priority:       e.priority(),
 		PauseObjective: e.route.PauseObjective,
 		FirstEventDue:  now + e.route.LatencyObjective - time.Since(e.arrivedAt),
 		Deadline:       now + e.timeToSend(),
@@ -237,7 +237,7 @@
 	defer end()
 	result := e.send(ctx, upstream, ticket != 0, SendParams{
 		AdapterVersion: engines.HeldVersion(id, e.call.Adapter),
-		Priority:       e.route.Priority,
+		Priority:       e.priority(),
 		LastEventID:    e.lastEventID,
 	})
 	e.countSend(result)
@@ -308,6 +308,13 @@
 	if e.isCanceledByBlock() || errors.Is(result.err, errWithheld) {
 		return e.withholdIfBlocked()
 	}
+	if errors.Is(result.err, errKeyRevoked) {
+		e.refuseKey(errKeyRevoked.Error())
+		return true
+	}
+	if errors.Is(result.err, errKeysChanged) {
+		return false
+	}
 	if errors.Is(result.err, errNotTaken) {
 		e.relay.log.Info("upstream takes no request any more, choosing another", "id", e.call.ID, "upstream", upstream.ID)
 		e.tried = append(e.tried, upstream.ID)
--- a/internal/relay/pass_on.go
+++ b/internal/relay/pass_on.go
@@ -111,13 +111,13 @@
 // or one of the VM's own.
 func (e *exchange) sendToVM(ctx context.Context, pool *hop.Pool) sendResult {
 	protocol := e.relay.config.Protocol
-	params := PassOnParams{TimeLeft: e.timeLeft(), LastEventID: e.lastEventID}
+	params := PassOnParams{TimeLeft: e.timeLeft(), LastEventID: e.lastEventID, KeysRequired: e.keysRequired}
 	if e.events > 0 {
 		params.FirstTry = e.firstTry()
 	}
 	response, failed := e.exchangeOver(ctx, pool, &hop.Request{
 		Method: e.call.Method, Target: e.call.Target, Host: e.call.Host, Header: protocol.PassOnHeader(e.call, params), Body: e.body,
-	}, nil)
+	}, e.checkKey)
 	if response == nil {
 		return failed
 	}
@@ -125,7 +125,7 @@
 	result := sendResult{
 		response: response, head: head, written: true, conn: response.Conn(), reused: response.Reused(), skipped: response.Skipped,
 		// Other VMs send these statuses only if the request has not run.
-		mayHaveRun: !head.StatusImpliesNotRun,
+		mayHaveRun: !head.StatusImpliesNotRun && !isKeyRefusal(head, response.StatusCode, response.Header),
 	}
 	if head.ContentEncoded || head.RequestID != e.call.ID || response.StatusCode/100 == 2 && !head.Signed {
 		response.Discard()
@@ -138,8 +138,13 @@
 // may serve it. It reports whether the request has ended.
 func (e *exchange) handleVMRefusal(result sendResult) bool {
 	mayServeElsewhere := result.response.Header.Get(headerUnreachable) != ""
+	keyRefused := isKeyRefusal(result.head, result.response.StatusCode, result.response.Header)
+	version := result.response.Header.Get(headerKeyRefused)
 	retryAfter := result.head.Statement.Pause
 	drain(result)
+	if keyRefused {
+		return e.handleVMKeyRefusal(version)
+	}
 	if mayServeElsewhere {
 		return false
 	}
--- a/internal/relay/types.go
+++ b/internal/relay/types.go
@@ -18,7 +18,11 @@
 	Target string
 	Path   string
 	// Caller identifies who sends the request; empty if it doesn't say.
-	Caller string
+	Caller Secret
+	// Key is the caller's API key; empty if it sends none, or several. KeyProblem then says
+	// why.
+	Key        Secret
+	KeyProblem string
 	// Timeout is how long the caller waits for the response; 0 if not stated.
 	Timeout time.Duration
 	// Adapter identifies the model and adapter of a model request; its Model is
@@ -27,6 +31,8 @@
 	// PromptTokens and MaxOutputTokens are as stated by the caller.
 	PromptTokens    int
 	MaxOutputTokens int
+	// Usage is the number of tokens that counts for the customer's quota.
+	Usage TokenUsage
 	// PromptParts lists the parts of the prompt in order, as stated by the caller.
 	PromptParts []topology.PromptPart
 	// LastEventID identifies the last event that the caller received of a stream;
@@ -36,7 +42,7 @@
 	// stream which this one resumes; empty if not stated.
 	FirstTry string
 	// Header holds the fields to forward, without hop-by-hop fields and those that
-	// only the daemon sets.
+	// only the daemon sets. It may hold an API key and must not be logged.
 	Header http.Header
 }
 
@@ -49,9 +55,13 @@
 	TimeLeft time.Duration
 	// AdapterVersion is the required version of the adapter; 0 for any.
 	AdapterVersion int64
-	// Priority is the route's priority, 0 being the most urgent; used for model
+	// Priority is the request's priority, 0 being the most urgent; used for model
 	// calls only.
 	Priority int
+	// KeysRequired is set if callers need API keys. The upstream then gets none, nor what
+	// the caller says of itself, but the name of the customer; empty for none.
+	KeysRequired bool
+	Customer     string
 	// LastEventID identifies the event after which a stream resumes.
 	LastEventID string
 }
@@ -88,6 +98,8 @@
 	// request that brought its first event.
 	LastEventID string
 	FirstTry    string
+	// KeysRequired is set if callers need API keys; the other VM checks the caller's.
+	KeysRequired bool
 }
 
 // Protocol translates between HTTP header fields and the types above.
