--- a/internal/promise/faults_test.go
+++ b/internal/promise/faults_test.go
@@ -420,6 +420,9 @@
 	{"engines crash on a prompt part", "503 at once for requests with the part, answers for others", "TestRequestsWithCrashingPromptPartStopReachingEngines"},
 	{"engines crash under a request that comes again", "503 at once for the request, answers for others", "TestRepeatedRequestThatCrashesEnginesStopsReachingThem"},
 	{"a VM loses its links to all upstreams", "answers through other VMs", "TestCallersOfVMsCutOffFromEnginesAreServed"},
+	{"an API key is removed while its request waits", "401 before any byte is sent", "TestKeyRemovedWhileTheRequestWaits"},
+	{"a VM knows no configuration", "503, not 401", "TestNoConfigurationIsNotTakenForAnUnknownKey"},
+	{"a configuration is malformed", "answers by the configuration in force", "TestMalformedConfigurationKeepsTheOneInForce"},
 }
 
 func TestFaultsOfRoleGatewayHaveTests(t *testing.T) {
