dissemination: router of entries and choice of coordinators, wired into the gateway

Cause: API keys and quotas need one transport for what daemons tell each other. Change: Router packs typed entries into datagrams of at most 1,400 bytes and passes them to handlers; Coordinators decides without I/O who is asked when, who is skipped and who is coordinator of a group. Exchanges run while the table in force requires API keys or a part has registered a need. A request has the flag FreshnessOnly for daemons that are not coordinators.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/barleylift/barleylift/internal/dissemination"
 	"github.com/barleylift/barleylift/internal/fleet"
 	"github.com/barleylift/barleylift/internal/hop"
 	"github.com/barleylift/barleylift/internal/limit"
@@ -65,6 +66,9 @@
 	origins     *origins
 	quarantined *quarantined
 	reach       *reach
+	// router and coordinators are those of the entries that daemons share.
+	router       *dissemination.Router
+	coordinators *dissemination.Coordinators
 	// forwardLimiter limits the bytes that this daemon forwards as a watcher.
 	forwardLimiter *rate.Limiter
 
@@ -145,6 +149,7 @@
 		origins:            newOrigins(),
 		quarantined:        newQuarantined(),
 		reach:              newReach(),
+		coordinators:       dissemination.NewCoordinators(s.VM),
 		forwardLimiter:     rate.NewLimiter(forwardRate, forwardBurst),
 	}
 	g.settings.Store(&s)
@@ -208,6 +213,9 @@
 	}); err != nil {
 		return err
 	}
+	if g.router, err = g.newRouter(s); err != nil {
+		return err
+	}
 	g.mesh, err = mesh.Open(mesh.Config{
 		Listen: s.Mesh, From: s.VM, Incarnation: g.incarnation, Receive: g.receive, CountBytes: meters.MeshBytes, Log: log,
 	})
@@ -242,7 +250,7 @@
 	var running sync.WaitGroup
 	running.Go(g.mesh.Run)
 	for _, part := range []func(context.Context){
-		g.mirror.Run, g.keeper.Run, g.runAssignments, g.runHeartbeats, g.runSweeps, g.runReloads, g.runReachability,
+		g.mirror.Run, g.keeper.Run, g.runAssignments, g.runHeartbeats, g.runSweeps, g.runReloads, g.runReachability, g.runExchanges,
 	} {
 		running.Go(func() { part(background) })
 	}
--- a/internal/gateway/notices.go
+++ b/internal/gateway/notices.go
@@ -287,6 +287,8 @@
 	case packet.AdapterReady != nil:
 		ready := packet.AdapterReady
 		g.locator.MarkHeld(ready.Engine, topology.Adapter{Model: ready.Model, Name: ready.Adapter}, ready.Version)
+	case len(packet.Entries) > 0 || packet.ExchangeRequest != nil || packet.ExchangeReply != nil:
+		g.router.Receive(packet)
 	case packet.Checkpoint != nil:
 		g.receiveCheckpoint(*packet.Checkpoint)
 	case packet.AdmissionProgress != nil:
--- a/internal/gateway/watchers.go
+++ b/internal/gateway/watchers.go
@@ -62,6 +62,11 @@
 // daemons; in a large fleet a weak VM falls behind with that and with applying
 // its own configuration.
 func chooseWatchers(members []fleet.Member) []string {
+	return rankWatchers(members, watcherCount)
+}
+
+// rankWatchers returns the first k candidates for watchers, best first.
+func rankWatchers(members []fleet.Member, k int) []string {
 	strongest := 0.0
 	for _, m := range members {
 		strongest = max(strongest, m.Cores)
@@ -73,7 +78,7 @@
 		}
 	}
 	var names []string
-	for _, c := range placement.Rank(candidates, watcherKey, watcherCount) {
+	for _, c := range placement.Rank(candidates, watcherKey, k) {
 		names = append(names, c.Engine)
 	}
 	return names
--- a/internal/mesh/landing_test.go
+++ b/internal/mesh/landing_test.go
@@ -44,7 +44,7 @@
 		v.SetFloat(float64(n) + 0.5)
 	case reflect.Int, reflect.Int64:
 		v.SetInt(int64(1000 + n))
-	case reflect.Uint64, reflect.Uint8:
+	case reflect.Uint64, reflect.Uint32, reflect.Uint8:
 		v.SetUint(uint64(100 + n))
 	default:
 		panic("unexpected kind " + v.Kind().String())
--- a/internal/mesh/packet.go
+++ b/internal/mesh/packet.go
@@ -2,8 +2,8 @@
 
 import "github.com/fxamacker/cbor/v2"
 
-// maxDatagramSize keeps a datagram within one link-layer frame, in bytes.
-const maxDatagramSize = 1400
+// MaxDatagramSize keeps a datagram within one link-layer frame, in bytes.
+const MaxDatagramSize = 1400
 
 // Packet is one datagram. Exactly one message is set.
 type Packet struct {
@@ -51,6 +51,9 @@
 type ExchangeRequest struct {
 	SentAt  int64   `cbor:"1,keyasint"`
 	Entries []Entry `cbor:"2,keyasint,omitempty"`
+	// FreshnessOnly is set if the receiver is not a coordinator and is asked for the
+	// freshness of its configuration alone.
+	FreshnessOnly bool `cbor:"3,keyasint,omitempty"`
 }
 
 // ExchangeReply answers an ExchangeRequest. EchoedSentAt is the request's SentAt.
@@ -212,6 +215,9 @@
 	// BlockedRequests and AnsweredRequests are the same for whole requests.
 	BlockedRequests  []RequestAge `cbor:"13,keyasint,omitempty"`
 	AnsweredRequests []RequestAge `cbor:"14,keyasint,omitempty"`
+	// NotFresh is set while the sender's proof that its configuration is the newest is too
+	// old for it to be listed to callers.
+	NotFresh bool `cbor:"15,keyasint,omitempty"`
 	// Uses lists the sender's use of engines that the receiver owns.
 	Uses []EngineUse `cbor:"3,keyasint,omitempty"`
 	// States lists the states of engines that the sender owns.
@@ -327,7 +333,7 @@
 		return nil, err
 	}
 	heartbeat := packet.Heartbeat
-	if len(data) <= maxDatagramSize || heartbeat == nil || len(heartbeat.Uses)+len(heartbeat.States) < 2 {
+	if len(data) <= MaxDatagramSize || heartbeat == nil || len(heartbeat.Uses)+len(heartbeat.States) < 2 {
 		return [][]byte{data}, nil
 	}
 	first, second := splitHeartbeat(*heartbeat)
--- a/internal/mesh/packet_test.go
+++ b/internal/mesh/packet_test.go
@@ -50,7 +50,7 @@
 				}
 				gotUses += len(packet.Heartbeat.Uses)
 				gotStates += len(packet.Heartbeat.States)
-				if len(datagram) > maxDatagramSize && len(packet.Heartbeat.Uses)+len(packet.Heartbeat.States) > 1 {
+				if len(datagram) > MaxDatagramSize && len(packet.Heartbeat.Uses)+len(packet.Heartbeat.States) > 1 {
 					t.Errorf("%d uses, %d states: a datagram of %d bytes", uses, states, len(datagram))
 				}
 				if len(packet.Heartbeat.ConfirmedEngines) != 40 || packet.Heartbeat.SentAt != 7 {
--- a/internal/metrics/gateway.go
+++ b/internal/metrics/gateway.go
@@ -28,6 +28,7 @@
 	kvCalls       *prometheus.CounterVec
 	meshBytes     *prometheus.CounterVec
 	checkpoints   *prometheus.CounterVec
+	entryDrops    *prometheus.CounterVec
 	passedOn      *prometheus.CounterVec
 	cutOff        prometheus.Gauge
 	version       prometheus.Gauge
@@ -59,6 +60,7 @@
 		kvCalls:       counter("gateway_kv_calls_total", "Calls to the key-value service by kind and result.", "kind", "result"),
 		meshBytes:     counter("mesh_bytes_total", "Bytes of datagrams between daemons by direction.", "direction"),
 		checkpoints:   counter("checkpoints_total", "Watchers' checkpoints by how this daemon's copy compared.", "result"),
+		entryDrops:    counter("dropped_entries_total", "Malformed or too large entries of the dissemination between daemons, by kind.", "kind"),
 		storeEra: prometheus.NewGauge(prometheus.GaugeOpts{
 			Namespace: namespace, Name: "gateway_kv_era", Help: "Era of the key-value service; it rises with each return from an older copy.",
 		}),
@@ -66,7 +68,7 @@
 			Namespace: namespace, Name: "routing_version", Help: "Configuration version in force.",
 		}),
 	}
-	registerer.MustRegister(g.requests, g.duration, g.firstEvent, g.loadWait, g.repeatedSends, g.refusals, g.skipped, g.turnsDeclined, g.takenUp, g.statements, g.engineCrashes, g.withheld, g.blockedCauses, g.passedOn, g.cutOff, g.engineOrders, g.engineReports, g.kvCalls, g.meshBytes, g.checkpoints, g.version, g.storeEra)
+	registerer.MustRegister(g.requests, g.duration, g.firstEvent, g.loadWait, g.repeatedSends, g.refusals, g.skipped, g.turnsDeclined, g.takenUp, g.statements, g.engineCrashes, g.withheld, g.blockedCauses, g.passedOn, g.cutOff, g.engineOrders, g.engineReports, g.kvCalls, g.meshBytes, g.checkpoints, g.entryDrops, g.version, g.storeEra)
 	return g
 }
 
@@ -174,6 +176,11 @@
 	g.checkpoints.WithLabelValues(result).Inc()
 }
 
+// EntryDropped counts a malformed or too large entry of the dissemination.
+func (g *Gateway) EntryDropped(kind uint32) {
+	g.entryDrops.WithLabelValues(strconv.FormatUint(uint64(kind), 10)).Inc()
+}
+
 // StoreEra sets the era of the key-value service.
 func (g *Gateway) StoreEra(era int64) {
 	g.storeEra.Set(float64(era))
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -15,6 +15,8 @@
 	limits   Limits
 	hosts    map[string]map[string]*Route
 	services map[string]*Service
+	// requiresKeys is Config.RequiresKeys.
+	requiresKeys bool
 }
 
 // ConfigError reports an invalid field of a configuration.
@@ -36,6 +38,8 @@
 		limits:   config.Limits,
 		hosts:    make(map[string]map[string]*Route),
 		services: make(map[string]*Service, len(config.Services)),
+
+		requiresKeys: config.RequiresKeys,
 	}
 	for i := range config.Services {
 		t.services[config.Services[i].Name] = &config.Services[i]
@@ -80,6 +84,11 @@
 	return t.version
 }
 
+// RequiresKeys reports whether callers need an API key on routes that are not public.
+func (t *Table) RequiresKeys() bool {
+	return t.requiresKeys
+}
+
 // Limits returns the limits on callers.
 func (t *Table) Limits() Limits {
 	return t.limits
