freshness: API keys are accepted only with a proof that the configuration is the newest

Cause: a VM that is cut off or frozen would go on accepting an API key long after its removal. Change: Proof (no I/O) keeps the time of the last proof, from own reads or from other VMs' answers; the relay passes keyed requests on, or refuses them with 503, while there is none, and checks again before the first byte of each attempt. Reads of all keys set the mirror's AsOf. Settings revoke_strict, revoke_ms and the quota bounds. Heartbeats say NotFresh, and the directory leaves such VMs out unless they are half. While a VM needs a proof of its own it reads the service more often.

--- a/internal/gateway/apply.go
+++ b/internal/gateway/apply.go
@@ -68,6 +68,7 @@
 		g.log.Info("older configuration ignored", "version", config.Version)
 		return
 	}
+	g.proof.SetVersion(config.Version)
 	g.options.Meters.Version(config.Version)
 	g.log.Info("configuration in force", "version", config.Version, "routes", len(config.Routes), "services", len(config.Services))
 	g.signalReassign()
--- a/internal/gateway/completeness.go
+++ b/internal/gateway/completeness.go
@@ -84,6 +84,7 @@
 // receiveCheckpoint compares a watcher's state with this daemon's.
 func (g *Gateway) receiveCheckpoint(checkpoint mesh.Checkpoint) {
 	result := "different"
+	g.proof.RecordVersion(checkpoint.ConfigVersion)
 	switch {
 	case checkpoint.ConfigVersion > g.configVersion():
 		result = "newer configuration"
--- a/internal/gateway/directory.go
+++ b/internal/gateway/directory.go
@@ -17,7 +17,8 @@
 )
 
 // Entries implements Directory. It lists all daemons that accept requests,
-// without those whose heartbeats have stopped. If that applies to most daemons,
+// without those whose heartbeats have stopped, which reach no upstream, or whose
+// configuration has not been proven the newest for too long. If that applies to most daemons,
 // this one is probably disconnected itself, and all are listed.
 func (g *Gateway) Entries(_, _ string) ([]string, float64) {
 	now := clock.Boot()
@@ -25,12 +26,13 @@
 	members := g.members()
 	var alive, registered []string
 	cutOff := g.cutOffEntries(members)
+	notFresh := g.notFreshEntries(members)
 	for _, m := range members {
 		if m.Draining || m.Name == self {
 			continue
 		}
 		p, hasHeartbeat := g.peers.get(m.Name)
-		if hasHeartbeat && p.draining || cutOff[m.Name] {
+		if hasHeartbeat && p.draining || cutOff[m.Name] || notFresh[m.Name] {
 			continue
 		}
 		registered = append(registered, m.Entry)
@@ -41,7 +43,7 @@
 	if 2*len(alive) < len(registered) {
 		alive = registered
 	}
-	if g.Ready() && !cutOff[self] {
+	if g.Ready() && !cutOff[self] && !notFresh[self] {
 		alive = append(alive, g.settings.Load().Entry.String())
 	}
 	rand.Shuffle(len(alive), func(i, j int) { alive[i], alive[j] = alive[j], alive[i] })
--- a/internal/gateway/exchanges.go
+++ b/internal/gateway/exchanges.go
@@ -33,6 +33,8 @@
 		return nil, err
 	}
 	router.AddNeed(g.requiresKeys)
+	router.Handle(dissemination.KindConfigState, g.receiveConfigState)
+	router.ProduceReplies(dissemination.KindConfigState, g.configState)
 	return router, nil
 }
 
@@ -55,6 +57,7 @@
 		if g.router.Needed() {
 			g.requestExchanges()
 		}
+		g.reportProof()
 	}
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -11,6 +11,7 @@
 
 	"github.com/barleylift/barleylift/internal/dissemination"
 	"github.com/barleylift/barleylift/internal/fleet"
+	"github.com/barleylift/barleylift/internal/freshness"
 	"github.com/barleylift/barleylift/internal/hop"
 	"github.com/barleylift/barleylift/internal/limit"
 	"github.com/barleylift/barleylift/internal/locator"
@@ -69,6 +70,10 @@
 	// router and coordinators are those of the entries that daemons share.
 	router       *dissemination.Router
 	coordinators *dissemination.Coordinators
+	// proof is that the configuration is the newest, and keysWereUsable what was last logged
+	// of it.
+	proof          freshness.Proof
+	keysWereUsable atomic.Bool
 	// forwardLimiter limits the bytes that this daemon forwards as a watcher.
 	forwardLimiter *rate.Limiter
 
@@ -153,6 +158,7 @@
 		forwardLimiter:     rate.NewLimiter(forwardRate, forwardBurst),
 	}
 	g.settings.Store(&s)
+	g.proof.SetBound(s.RevocationBound)
 	g.storeDown.Store(true)
 	g.pools = newPools(g.dialUpstream, g.connectionShare)
 	if err := g.buildParts(s); err != nil {
@@ -204,6 +210,7 @@
 		Origins:    g,
 		Quarantine: g,
 		Peers:      g,
+		Freshness:  g,
 		Log:        log,
 	}); err != nil {
 		return err
--- a/internal/gateway/notices.go
+++ b/internal/gateway/notices.go
@@ -36,6 +36,8 @@
 	draining        bool
 	// cutOff is set when it reaches no upstream.
 	cutOff bool
+	// notFresh is set when its configuration has not been proven the newest for too long.
+	notFresh bool
 	// mayOrder is set when it may send orders to an engine.
 	mayOrder bool
 	// sentAt is its clock.Boot when it sent the heartbeat.
@@ -121,6 +123,7 @@
 		// What this daemon believes of engines is not true for others.
 		heartbeat.States = nil
 	}
+	heartbeat.NotFresh = !g.isListed()
 	heartbeat.Leaving = g.recentStatements()
 	g.spreadQuarantine(&heartbeat)
 	g.confirmOwnership(member, &heartbeat)
@@ -301,7 +304,7 @@
 func (g *Gateway) receiveHeartbeat(from string, incarnation int64, heartbeat *mesh.Heartbeat) {
 	g.peers.set(from, peer{
 		lastHeartbeatAt: clock.Boot(), incarnation: incarnation, storeDown: heartbeat.StoreDown, draining: heartbeat.Draining, cutOff: heartbeat.CutOff,
-		mayOrder: heartbeat.MayOrder, sentAt: heartbeat.SentAt,
+		mayOrder: heartbeat.MayOrder, sentAt: heartbeat.SentAt, notFresh: heartbeat.NotFresh,
 	})
 	if len(heartbeat.ConfirmedEngines) > 0 {
 		g.keeper.ConfirmOwnership(heartbeat.ConfirmedEngines, time.Duration(heartbeat.EchoedSentAt))
--- a/internal/gateway/reach.go
+++ b/internal/gateway/reach.go
@@ -198,7 +198,7 @@
 
 // ChooseVM implements relay.Peers.
 func (g *Gateway) ChooseVM(except []string) (vm string, pool *hop.Pool, ok bool) {
-	chosen, ok := pickVM(g.reachingMembers(), g.settings.Load().Zone, except)
+	chosen, ok := pickVM(g.withProof(g.reachingMembers()), g.settings.Load().Zone, except)
 	if !ok {
 		return "", nil, false
 	}
--- a/internal/gateway/reload.go
+++ b/internal/gateway/reload.go
@@ -54,5 +54,6 @@
 		g.platform.SetStore(next.Store.String())
 	}
 	g.settings.Store(&next)
+	g.proof.SetBound(next.RevocationBound)
 	g.log.Info("settings reloaded", "store", next.Store.String(), "grace_ms", next.Grace.Milliseconds())
 }
--- a/internal/gateway/servers.go
+++ b/internal/gateway/servers.go
@@ -106,10 +106,14 @@
 	StoreDown     bool   `json:"store_down"`
 	Draining      bool   `json:"draining"`
 	// CutOff is set while the VM reaches no upstream.
-	CutOff   bool     `json:"cut_off"`
-	InFlight int64    `json:"in_flight"`
-	Engines  []string `json:"engines"`
-	Members  []string `json:"members"`
+	CutOff bool `json:"cut_off"`
+	// KeysUsable is unset while requests with API keys are passed on, as the configuration
+	// is not proven to be the newest, and ProofAgeMS is the proof's age; null if there is none.
+	KeysUsable bool     `json:"keys_usable"`
+	ProofAgeMS *int64   `json:"config_proof_age_ms"`
+	InFlight   int64    `json:"in_flight"`
+	Engines    []string `json:"engines"`
+	Members    []string `json:"members"`
 	// Leaving lists the upstreams that have said in an answer that they leave.
 	Leaving []string `json:"leaving"`
 	// RateLimits lists the requests a second that upstreams take from all VMs
@@ -129,6 +133,8 @@
 		StoreDown:       g.storeDown.Load(),
 		Draining:        g.draining.Load(),
 		CutOff:          g.CutOff(),
+		KeysUsable:      g.KeysUsable(),
+		ProofAgeMS:      g.proofAgeMS(),
 		InFlight:        g.relay.InFlight(),
 		Engines:         g.keeper.OwnedEngines(),
 		Leaving:         g.leavingByStatement(),
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -39,6 +39,15 @@
 	MaxAnswerAge time.Duration
 	// MinLeaseTTL is the minimum time to live of a lease.
 	MinLeaseTTL time.Duration
+	// RevocationBound is the time after the acknowledgement of a configuration without an
+	// API key from which on no request with the key may run; 0 if that is not strict.
+	RevocationBound time.Duration
+	// QuotaWindow, QuotaOvershoot and QuotaSlack bound what customers with a quota use: in
+	// each window (rate x window + burst) x (1 + overshoot) + slack; all are 0 if not
+	// stated.
+	QuotaWindow    time.Duration
+	QuotaOvershoot float64
+	QuotaSlack     float64
 }
 
 // BudgetSettings bound the retries of all daemons to one service.
@@ -72,6 +81,10 @@
 		return &SettingError{"QuietTime", "must be positive"}
 	case s.MaxStaleness <= 0:
 		return &SettingError{"MaxStaleness", "must be positive"}
+	case s.RevocationBound < 0:
+		return &SettingError{"RevocationBound", "must not be negative"}
+	case s.QuotaWindow < 0 || s.QuotaOvershoot < 0 || s.QuotaSlack < 0:
+		return &SettingError{"QuotaWindow, QuotaOvershoot, QuotaSlack", "must not be negative"}
 	case s.Budget.Ratio < 0 || s.Budget.Ratio > 1:
 		return &SettingError{"Budget.Ratio", "must be from 0 to 1"}
 	case s.Budget.Window <= 0:
--- a/internal/gateway/watchers.go
+++ b/internal/gateway/watchers.go
@@ -86,9 +86,17 @@
 
 func (g *Gateway) setWatchPause() {
 	pause, hold := time.Duration(watchPauseShare*float64(g.settings.Load().MaxStaleness)), maxWatchHold
+	if g.keysNeedProof() {
+		hold = g.ownProofHold()
+	}
 	switch {
 	case g.isWatcher():
 		pause, hold = watcherPause, watcherHold
+	case g.proofNeedsRead():
+		pause = min(pause, hold)
+		if g.proof.NewerKnown() {
+			pause = watcherPause // API keys are not accepted until the version is read
+		}
 	case g.copyIsProven():
 		pause = provenWatchPause
 	}
--- a/internal/metrics/gateway.go
+++ b/internal/metrics/gateway.go
@@ -1,6 +1,7 @@
 package metrics
 
 import (
+	"math"
 	"strconv"
 	"time"
 
@@ -33,6 +34,7 @@
 	cutOff        prometheus.Gauge
 	version       prometheus.Gauge
 	storeEra      prometheus.Gauge
+	proofAge      prometheus.Gauge
 }
 
 // NewGateway creates the collectors and registers them with the registerer.
@@ -64,11 +66,14 @@
 		storeEra: prometheus.NewGauge(prometheus.GaugeOpts{
 			Namespace: namespace, Name: "gateway_kv_era", Help: "Era of the key-value service; it rises with each return from an older copy.",
 		}),
+		proofAge: prometheus.NewGauge(prometheus.GaugeOpts{
+			Namespace: namespace, Name: "config_proof_age_seconds", Help: "Age of the proof that the configuration is the newest; NaN before the first one.",
+		}),
 		version: prometheus.NewGauge(prometheus.GaugeOpts{
 			Namespace: namespace, Name: "routing_version", Help: "Configuration version in force.",
 		}),
 	}
-	registerer.MustRegister(g.requests, g.duration, g.firstEvent, g.loadWait, g.repeatedSends, g.refusals, g.skipped, g.turnsDeclined, g.takenUp, g.statements, g.engineCrashes, g.withheld, g.blockedCauses, g.passedOn, g.cutOff, g.engineOrders, g.engineReports, g.kvCalls, g.meshBytes, g.checkpoints, g.entryDrops, g.version, g.storeEra)
+	registerer.MustRegister(g.requests, g.duration, g.firstEvent, g.loadWait, g.repeatedSends, g.refusals, g.skipped, g.turnsDeclined, g.takenUp, g.statements, g.engineCrashes, g.withheld, g.blockedCauses, g.passedOn, g.cutOff, g.engineOrders, g.engineReports, g.kvCalls, g.meshBytes, g.checkpoints, g.entryDrops, g.version, g.storeEra, g.proofAge)
 	return g
 }
 
@@ -181,6 +186,15 @@
 	g.entryDrops.WithLabelValues(strconv.FormatUint(uint64(kind), 10)).Inc()
 }
 
+// ConfigProofAge sets the age of the proof that the configuration is the newest.
+func (g *Gateway) ConfigProofAge(age time.Duration, known bool) {
+	if !known {
+		g.proofAge.Set(math.NaN())
+		return
+	}
+	g.proofAge.Set(age.Seconds())
+}
+
 // StoreEra sets the era of the key-value service.
 func (g *Gateway) StoreEra(era int64) {
 	g.storeEra.Set(float64(era))
--- /dev/null
+++ b/internal/mirror/as_of_test.go
@@ -0,0 +1,75 @@
+package mirror
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/barleylift/barleylift/internal/clock"
+	"github.com/barleylift/barleylift/internal/fake"
+	"github.com/barleylift/barleylift/internal/infra"
+)
+
+// timedKV records when the last read of all keys arrived, and when it was answered. Its
+// watches say nothing of when they were requested.
+type timedKV struct {
+	*fake.KV
+	arrivedAt, answeredAt time.Duration
+	reads                 int
+}
+
+func (k *timedKV) Range(ctx context.Context, prefix string) (infra.RangeResult, error) {
+	if prefix != "p/" {
+		return k.KV.Range(ctx, prefix)
+	}
+	k.reads++
+	k.arrivedAt = clock.Boot()
+	result, err := k.KV.Range(ctx, prefix)
+	k.answeredAt = clock.Boot()
+	return result, err
+}
+
+// Each read of all keys must set AsOf, to before its first page was requested: a change that is
+// acknowledged while the pages are read may be missing. AsOf must not tell of the read before
+// its changes are in force: a removed API key would count as the newest state.
+func TestReadsOfAllKeysSetAsOf(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		kv := &timedKV{KV: fake.NewKV()}
+		put(t, kv.KV, "p/a", "1")
+		var m *Mirror
+		applied := 0
+		began := clock.Boot()
+		m, err := New(Config{KV: kv, Prefix: "p/", Log: slog.New(slog.NewTextHandler(io.Discard, nil)), Apply: func(changes []Change, _ int64) {
+			if len(changes) > 0 {
+				applied++
+			}
+			if m.AsOf() > began {
+				t.Error("AsOf tells of a read whose changes are being applied")
+			}
+		}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go m.Run(ctx)
+		synctest.Wait()
+		if asOf := m.AsOf(); applied != 1 || asOf < began || asOf > kv.arrivedAt || kv.arrivedAt > kv.answeredAt {
+			t.Errorf("after the first read AsOf is %v, want from %v to %v", asOf, began, kv.arrivedAt)
+		}
+		began = clock.Boot()
+		kv.SetDown(true)
+		synctest.Wait()
+		kv.SetDown(false)
+		put(t, kv.KV, "p/a", "2")
+		kv.Compact()
+		time.Sleep(2 * maxRetryPause)
+		synctest.Wait()
+		if asOf := m.AsOf(); kv.reads < 2 || asOf < began || asOf > kv.arrivedAt {
+			t.Errorf("after %d reads AsOf is %v, want from %v to %v", kv.reads, asOf, began, kv.arrivedAt)
+		}
+	})
+}
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/barleylift/barleylift/internal/clock"
 	"github.com/barleylift/barleylift/internal/infra"
 )
 
@@ -93,7 +94,7 @@
 }
 
 // AsOf returns a reading of clock.Boot: the copy reflects all changes made up to
-// then. It is 0 if unknown.
+// then, as Apply has received them. It is 0 if unknown.
 func (m *Mirror) AsOf() time.Duration {
 	return time.Duration(m.asOf.Load())
 }
@@ -211,6 +212,7 @@
 
 // read reads all keys at once and delivers the differences from the copy.
 func (m *Mirror) read(ctx context.Context) error {
+	requestedAt := clock.Boot()
 	result, err := m.config.KV.Range(ctx, m.config.Prefix)
 	if err != nil {
 		return err
@@ -237,6 +239,8 @@
 			"revision", infra.NumberOf(result.Revision), "former_revision", infra.NumberOf(m.Revision()), "keys", len(result.Entries), "reverted", reverted, "missing", missing)
 	}
 	m.deliver(m.filterNew(changes), result.Revision)
+	// Every page was requested after this, so no change from before it is missing.
+	m.asOf.Store(int64(requestedAt))
 	return nil
 }
 
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -59,6 +59,9 @@
 	passedOn bool
 	triedVMs []string
 	viaVM    bool
+	// notFresh is set once the request needed an API key and this VM had no proof that its
+	// configuration is the newest.
+	notFresh bool
 	// declines counts the engines that could not accept the request.
 	declines int
 	// admissionWait is the time spent waiting for adapter loads and admissions.
@@ -114,7 +117,7 @@
 	}
 	e.service = table.Service(route.PickService(call.ID))
 	e.ctx, e.cancel = context.WithDeadline(request.Context(), e.deadline)
-	if passedOn || !relay.config.Peers.CutOff() {
+	if passedOn || !relay.config.Peers.CutOff() && e.keysUsable() {
 		// The VM that sends the request to upstreams counts it for its repeated sends.
 		relay.config.Budget(e.service.Name).Deposit(monotonicNow())
 	}
@@ -311,6 +314,9 @@
 // first byte: there was none when the upstream was selected, but the connection may have
 // taken a while.
 func (e *exchange) lastCheck(upstream topology.Upstream, granted bool) error {
+	if !e.keysUsable() {
+		return errNotFresh
+	}
 	if _, blocked := e.relay.config.Quarantine.IsBlocked(e.subject, e.verdict); blocked {
 		return errWithheld
 	}
--- a/internal/relay/model.go
+++ b/internal/relay/model.go
@@ -308,6 +308,9 @@
 	if e.isCanceledByBlock() || errors.Is(result.err, errWithheld) {
 		return e.withholdIfBlocked()
 	}
+	if errors.Is(result.err, errNotFresh) {
+		return false
+	}
 	if errors.Is(result.err, errNotTaken) {
 		e.relay.log.Info("upstream takes no request any more, choosing another", "id", e.call.ID, "upstream", upstream.ID)
 		e.tried = append(e.tried, upstream.ID)
--- a/internal/relay/pass_on.go
+++ b/internal/relay/pass_on.go
@@ -10,7 +10,8 @@
 )
 
 // headerUnreachable is set on a refusal of a request that was passed on if another VM may
-// serve it: this one reaches no upstream either, is full or ends.
+// serve it: this one reaches no upstream either, can't prove that its configuration is the
+// newest, is full or ends.
 const headerUnreachable = "Barleylift-Unreachable"
 
 const (
@@ -21,7 +22,8 @@
 	maxPassedOn = 256
 )
 
-// ServePassedOn serves requests that other VMs pass on because they reach no upstream.
+// ServePassedOn serves requests that other VMs pass on because they reach no upstream or may
+// not accept API keys.
 // Such a request is not passed on again.
 func (r *Relay) ServePassedOn(w http.ResponseWriter, request *http.Request) {
 	r.passedOn.Add(1)
@@ -40,7 +42,7 @@
 // refusePassedOn refuses a request of another VM that this one can't help with, and reports
 // whether it did.
 func (e *exchange) refusePassedOn() bool {
-	if !e.passedOn || !e.relay.config.Peers.CutOff() && e.relay.passedOn.Load() <= maxPassedOn {
+	if !e.passedOn || !e.relay.config.Peers.CutOff() && e.relay.passedOn.Load() <= maxPassedOn && e.keysUsable() {
 		return false
 	}
 	markUnreachable(e.w, true)
@@ -48,16 +50,21 @@
 	return true
 }
 
-// passOn sends the request through another VM if this one reaches no upstream. handled is
-// false if there is no reason to, or no VM; the request then goes on here.
+// passOn sends the request through another VM if this one reaches no upstream, or may not
+// accept its API key. handled is false if there is no reason to, or no VM; the request then
+// goes on here, unless it may not.
 func (e *exchange) passOn() (handled, ended bool) {
 	peers := e.relay.config.Peers
-	if e.passedOn || len(e.triedVMs) >= maxTriedVMs || !peers.CutOff() || !e.mayRunAgain() {
+	keysUsable := e.keysUsable()
+	if keysUsable && !peers.CutOff() {
 		return false, false
 	}
-	vm, pool, ok := peers.ChooseVM(e.triedVMs)
+	vm, pool, ok := "", (*hop.Pool)(nil), false
+	if !e.passedOn && len(e.triedVMs) < maxTriedVMs && e.mayRunAgain() {
+		vm, pool, ok = peers.ChooseVM(e.triedVMs)
+	}
 	if !ok {
-		return false, false
+		return !keysUsable, !keysUsable && e.refuseNotFresh()
 	}
 	if !e.allowResend("vm") {
 		e.giveUp(http.StatusBadGateway, retryAfterBudget, e.resendRefusal())
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -93,6 +93,7 @@
 	Origins    Origins
 	Quarantine Quarantine
 	Peers      Peers
+	Freshness  Freshness
 	// Observe records what an upstream's answer says about later requests. sentAt is
 	// when the request was sent, by clock.Boot, or 0 if the answer is a refusal or may
 	// not be the upstream's own. answer names the answer in the log.
@@ -117,7 +118,7 @@
 
 // New returns a Relay without a routing table.
 func New(config Config) (*Relay, error) {
-	if config.Protocol == nil || config.Locator == nil || config.Pools == nil || config.Budget == nil || config.Metrics == nil || config.Origins == nil || config.Quarantine == nil || config.Peers == nil || config.Observe == nil || config.Log == nil {
+	if config.Protocol == nil || config.Locator == nil || config.Pools == nil || config.Budget == nil || config.Metrics == nil || config.Origins == nil || config.Quarantine == nil || config.Peers == nil || config.Freshness == nil || config.Observe == nil || config.Log == nil {
 		return nil, errors.New("relay: a dependency is missing")
 	}
 	return &Relay{config: config, log: config.Log.With("part", "relay")}, nil
@@ -201,6 +202,8 @@
 		r.config.Protocol.WriteError(w, call, status, 0, err.Error())
 		return
 	}
+	// The body may have taken a while to arrive.
+	table = r.table.Load()
 	switch {
 	case table == nil:
 		r.log.Info("request refused: the daemon has no configuration yet", "id", call.ID)
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -96,7 +96,7 @@
 		Protocol: minimalProtocol{}, Locator: engines, Pools: &testPools{}, Log: log,
 		Budget:  func(string) *limit.RetryBudget { return budget },
 		Metrics: metrics.NewGateway(prometheus.NewRegistry()),
-		Origins: noOrigins{}, Quarantine: noQuarantine{}, Peers: noPeers{},
+		Origins: noOrigins{}, Quarantine: noQuarantine{}, Peers: noPeers{}, Freshness: &proofOf{},
 		Observe: func(topology.Upstream, topology.Statement, time.Duration, string) {},
 	})
 	if err != nil {
