--- a/internal/relay/pass_on.go
+++ b/internal/relay/pass_on.go
@@ -95,7 +95,7 @@
 	e.upstreamID = via.ID
 	result := e.sendToVM(ctx, pool)
 	if result.err == nil {
-		e.relay.log.Info("request passed on", "id", e.call.ID, "vm", vm, "status", result.response.StatusCode, "signed", result.head.Signed)
+		e.relay.log.Info("request passed on", "id", e.call.ID, "vm", vm, "not_fresh", e.notFresh, "status", result.response.StatusCode, "signed", result.head.Signed)
 	}
 	if result.err == nil && !result.mayHaveRun {
 		return e.handleVMRefusal(result)
