--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -66,6 +66,9 @@
 	passedOn bool
 	triedVMs []string
 	viaVM    bool
+	// notFresh is set once the request needed an API key and this VM had no proof that its
+	// configuration is the newest.
+	notFresh bool
 	// declines counts the engines that could not accept the request.
 	declines int
 	// admissionWait is the time spent waiting for adapter loads and admissions.
@@ -127,7 +130,7 @@
 	e.subject = quarantine.Request{
 		Fingerprint: quarantine.NewFingerprint(call.Method, call.Host, call.Target, e.callerText(), e.body), Prompt: call.PromptParts,
 	}
-	if e.passedOn || !e.relay.config.Peers.CutOff() {
+	if e.passedOn || !e.relay.config.Peers.CutOff() && e.keysUsable() {
 		// The VM that sends the request to upstreams counts it for its repeated sends.
 		e.relay.config.Budget(e.service.Name).Deposit(monotonicNow())
 	}
@@ -330,6 +333,9 @@
 // first byte: there was none when the upstream was selected, but the connection may have
 // taken a while.
 func (e *exchange) lastCheck(upstream topology.Upstream, granted bool) error {
+	if !e.keysUsable() {
+		return errNotFresh
+	}
 	if err := e.checkKey(); err != nil {
 		return err
 	}
--- a/internal/relay/keys.go
+++ b/internal/relay/keys.go
@@ -29,7 +29,13 @@
 	if !e.keysRequired {
 		return false
 	}
+	if !e.keysUsable() {
+		return false // it is passed on to a VM that may check the key, or refused
+	}
 	customer, known := e.table.Authenticate(string(e.call.Key))
+	if e.route.Public && known && !e.relay.config.Freshness.KeysUsable() {
+		known = false
+	}
 	switch {
 	case known:
 		e.customer = customer
--- a/internal/relay/model.go
+++ b/internal/relay/model.go
@@ -312,7 +312,7 @@
 		e.refuseKey(errKeyRevoked.Error())
 		return true
 	}
-	if errors.Is(result.err, errKeysChanged) {
+	if errors.Is(result.err, errKeysChanged) || errors.Is(result.err, errNotFresh) {
 		return false
 	}
 	if errors.Is(result.err, errNotTaken) {
