freshness: a newer version that is known ends no earlier proof

Cause: each configuration stopped all VMs from accepting API keys from when they heard of it until it was in force; in a series of configurations that is all the time. Change: while a newer version is known nothing new is proven, and what was proven before holds for its time. In the first revocation bound of a process it still ends at once. Result: the bound holds in the random sequences of TestNoVMIsFreshPastTheBound as before; tests of freshness pass.

--- a/internal/freshness/proof.go
+++ b/internal/freshness/proof.go
@@ -38,6 +38,8 @@
 	// provenAt is T, 0 if there is none, and source is where it comes from.
 	provenAt time.Duration
 	source   string
+	// firstProvenAt is the first T of this process, 0 if there was none.
+	firstProvenAt time.Duration
 	// version is that of the configuration in force, and newest the newest one heard of.
 	version, newest int64
 }
@@ -66,7 +68,10 @@
 }
 
 // RecordVersion records that a version exists, and reports whether it is newer than the one
-// in force. It ends every proof until that version is in force.
+// in force. Until that version is in force, nothing new is proven: what was proven before
+// holds for its time, so that a series of configurations stops no VM. In the first bound of a
+// process it doesn't hold either, as its first read may be that of an older copy of the
+// service, which other VMs know to be outdated.
 func (p *Proof) RecordVersion(version int64) (isNewer bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -91,8 +96,12 @@
 
 // prove keeps the later of two proofs. The caller holds mu.
 func (p *Proof) prove(at time.Duration, source string) {
-	if at > p.provenAt {
-		p.provenAt, p.source = at, source
+	if at <= p.provenAt || p.newest > p.version {
+		return
+	}
+	p.provenAt, p.source = at, source
+	if p.firstProvenAt == 0 {
+		p.firstProvenAt = at
 	}
 }
 
@@ -130,7 +139,8 @@
 // holds reports whether the configuration in force is proven to be the newest. The caller
 // holds mu.
 func (p *Proof) holds(now time.Duration) bool {
-	return p.newest <= p.version && p.isYoung(now, MaxAgeShare)
+	isSettled := p.provenAt-p.firstProvenAt >= p.bound
+	return (p.newest <= p.version || isSettled) && p.isYoung(now, MaxAgeShare)
 }
 
 // isYoung reports whether the proof is not older than a share of the bound. The caller holds
--- a/internal/freshness/proof_test.go
+++ b/internal/freshness/proof_test.go
@@ -48,6 +48,19 @@
 		{"old answer after a newer version is known", func(p *Proof) { p.RecordVersion(8); p.RecordAnswer(start, 7, 0, "b") }, start, false},
 		{"the newer version is in force", func(p *Proof) { p.RecordRead(start); p.RecordVersion(8); p.SetVersion(8) }, start, true},
 		{"an even newer one is known", func(p *Proof) { p.RecordRead(start); p.RecordVersion(9); p.SetVersion(8) }, start, false},
+		// Long after the first proof, a series of configurations must not stop a VM at once.
+		{"a newer version is known long after the first proof", func(p *Proof) {
+			p.RecordRead(start - bound)
+			p.RecordRead(start)
+			p.RecordVersion(8)
+		}, start + allowed, true},
+		{"nothing is proven from then on", func(p *Proof) {
+			p.RecordRead(start - bound)
+			p.RecordRead(start)
+			p.RecordVersion(8)
+			p.RecordRead(start + time.Second)
+			p.RecordAnswer(start+time.Second, 7, 0, "b")
+		}, start + allowed + 1, false},
 		{"an older version is set late", func(p *Proof) { p.SetVersion(6); p.RecordAnswer(start, 7, 0, "b") }, start, true},
 		{"a proof from the future", func(p *Proof) { p.RecordRead(start + time.Second) }, start, false},
 		{"the bound has become shorter", func(p *Proof) { p.RecordRead(start); p.SetBound(time.Second) }, start + time.Second, false},
