mesh, orders, locator: owners report waiting work and the prefill time per token

Entries knew only how many requests wait at an engine, which says little where prompts and the pace of engines differ by more than two times. EngineState gets keys 9 and 10, AdmissionStatus 7 and 8, and the locator's view estimates the work between reports. AdmissionRequest gets keys 13 and 14 for the customer and its weight, still unused. Builds without the fields send 0, for which the view has no estimate.

--- a/internal/admission/gate.go
+++ b/internal/admission/gate.go
@@ -68,6 +68,10 @@
 	// TurnBy is until when the request waits for its turn at an engine with a rate
 	// limit.
 	TurnBy time.Duration
+	// Customer identifies the customer, and Weight is its share of capacity relative to
+	// others; 0 without a customer.
+	Customer uint64
+	Weight   float64
 }
 
 // waiter is a request that waits for admission.
@@ -164,6 +168,26 @@
 	return g.countWaiting(status, residency.Waiting)
 }
 
+// WaitingWork returns the time that the engine needs for the prompts that it has yet to
+// prefill: those that were admitted and those that wait for room in its batch.
+func (g *Gate) WaitingWork(now time.Duration, status func(topology.Adapter, int64) residency.Status) time.Duration {
+	work := time.Duration(0)
+	for _, p := range g.prefills {
+		work += g.prefillTime(p.tokens)
+	}
+	for _, w := range g.waiting {
+		if status(w.Adapter, w.Version) == residency.Ready {
+			work += g.prefillTime(w.PromptTokens)
+		}
+	}
+	return work
+}
+
+// PrefillPerToken returns the learned time to prefill one token of a prompt.
+func (g *Gate) PrefillPerToken() time.Duration {
+	return g.prefillPerToken
+}
+
 // countWaiting returns the number of waiting requests whose adapter has a status.
 func (g *Gate) countWaiting(status func(topology.Adapter, int64) residency.Status, want residency.Status) int {
 	n := 0
--- a/internal/gateway/notices.go
+++ b/internal/gateway/notices.go
@@ -261,6 +261,7 @@
 		g.locator.HandleStatus(orders.AdmissionStatus{
 			Engine: status.Engine, Ticket: status.Ticket, Status: residency.Status(status.Status), Waiting: status.Waiting,
 			Incarnation: status.Incarnation, RoomIn: time.Duration(status.RoomIn) * time.Millisecond,
+			WaitingWork: waitingWorkOf(status.WaitingWork), PrefillPerToken: max(time.Duration(status.PrefillPerToken), 0),
 		})
 	case packet.Origin != nil:
 		g.origins.record(packet.Origin.Request, packet.Origin.SoftwareVersion, time.Duration(packet.Origin.TTL)*time.Second)
@@ -356,6 +357,8 @@
 		FirstEventDue:  request.FirstEventDue,
 		Deadline:       request.Deadline,
 		TurnBy:         request.TurnBy,
+		Customer:       request.Customer,
+		Weight:         request.Weight,
 	}))
 }
 
@@ -402,7 +405,7 @@
 	}
 	g.mesh.Send(m.Mesh, mesh.Packet{AdmissionStatus: &mesh.AdmissionStatus{
 		Engine: status.Engine, Ticket: status.Ticket, Status: int(status.Status), Waiting: status.Waiting, RoomIn: status.RoomIn.Milliseconds(),
-		Incarnation: status.Incarnation,
+		Incarnation: status.Incarnation, WaitingWork: status.WaitingWork.Milliseconds(), PrefillPerToken: int64(status.PrefillPerToken),
 	}})
 }
 
@@ -414,7 +417,7 @@
 		Engine: engine, Ticket: request.Ticket, Model: request.Adapter.Model, Adapter: request.Adapter.Name, Version: request.Version,
 		PromptTokens: request.PromptTokens, Priority: request.Priority, PauseObjective: request.PauseObjective.Milliseconds(),
 		FirstEventDue: (request.FirstEventDue - now).Milliseconds(), Deadline: (request.Deadline - now).Milliseconds(),
-		TurnBy: (request.TurnBy - now).Milliseconds(),
+		TurnBy: (request.TurnBy - now).Milliseconds(), Customer: request.Customer, Weight: request.Weight,
 	}
 }
 
@@ -430,6 +433,8 @@
 		FirstEventDue:  now + time.Duration(message.FirstEventDue)*time.Millisecond,
 		Deadline:       now + time.Duration(message.Deadline)*time.Millisecond,
 		TurnBy:         now + time.Duration(message.TurnBy)*time.Millisecond,
+		Customer:       message.Customer,
+		Weight:         message.Weight,
 	}
 }
 
@@ -485,6 +490,7 @@
 func stateMessage(state orders.EngineState) mesh.EngineState {
 	message := mesh.EngineState{
 		Engine: state.Engine, Incarnation: state.Incarnation, Running: state.Running, PendingLoads: state.PendingLoads, Waiting: state.Waiting,
+		WaitingWork: state.WaitingWork.Milliseconds(), PrefillPerToken: int64(state.PrefillPerToken),
 	}
 	if state.RateLimit.Limited {
 		message.RateLimit = rateLimitMessageOf(state.Incarnation, state.RateLimit)
@@ -495,9 +501,19 @@
 	return message
 }
 
+// maxWaitingWork bounds the work that another daemon reports. It is above all that an
+// engine can have, and keeps sums of it from an overflow.
+const maxWaitingWork = time.Hour
+
+// waitingWorkOf returns the work that a message states in milliseconds.
+func waitingWorkOf(ms int64) time.Duration {
+	return time.Duration(min(max(ms, 0), maxWaitingWork.Milliseconds())) * time.Millisecond
+}
+
 func stateOf(message mesh.EngineState) orders.EngineState {
 	state := orders.EngineState{
 		Engine: message.Engine, Incarnation: message.Incarnation, Running: message.Running, PendingLoads: message.PendingLoads, Waiting: message.Waiting,
+		WaitingWork: waitingWorkOf(message.WaitingWork), PrefillPerToken: max(time.Duration(message.PrefillPerToken), 0),
 	}
 	if message.RateLimit != nil {
 		state.RateLimit = rateLimitOf(message.RateLimit)
--- a/internal/locator/view.go
+++ b/internal/locator/view.go
@@ -44,7 +44,11 @@
 	// engine's batch, and waitingAtState what it was at the owner's last report.
 	waiting        int
 	waitingAtState int
-	uses           map[topology.Adapter]*use
+	// waitingTokens is the number of prompt tokens of these requests, and
+	// waitingTokensAtState what it was at the owner's last report.
+	waitingTokens        int
+	waitingTokensAtState int
+	uses                 map[topology.Adapter]*use
 	// unusedReportsLeft is how many more times the owner gets a report that the
 	// engine is unused.
 	unusedReportsLeft int
@@ -128,7 +132,7 @@
 	v.stateReceivedAt = now
 	v.hasState = true
 	v.runningAtState = v.running
-	v.waitingAtState = v.waiting
+	v.waitingAtState, v.waitingTokensAtState = v.waiting, v.waitingTokens
 	v.held = make(map[topology.Adapter]int64, len(state.Held))
 	for _, held := range state.Held {
 		v.held[held.Adapter] = held.Version
@@ -152,6 +156,30 @@
 	return max(v.state.Waiting+v.waiting-v.waitingAtState, v.waiting)
 }
 
+// applyStatus records the queue at the engine, which the owner reports with the status of
+// a request; w is nil if that no longer waits. The work includes the prompt of an admitted
+// request.
+func (v *view) applyStatus(status orders.AdmissionStatus, w *wait) {
+	v.state.Waiting = status.Waiting
+	v.state.WaitingWork, v.state.PrefillPerToken = status.WaitingWork, status.PrefillPerToken
+	v.waitingAtState, v.waitingTokensAtState = v.waiting, v.waitingTokens
+	if w != nil && w.forBatch && status.Status == residency.Ready {
+		v.waitingTokensAtState -= w.tokens
+	}
+}
+
+// estimateWaitingWork estimates the time that the engine needs for the prompts that it has
+// yet to prefill, and the time to prefill one token. It returns false if its owner has
+// reported no such times lately, for example because it is of an earlier build.
+func (v *view) estimateWaitingWork(now time.Duration) (work, perToken time.Duration, ok bool) {
+	if !v.hasState || now-v.stateReceivedAt > stateTTL || v.state.PrefillPerToken <= 0 {
+		return 0, 0, false
+	}
+	since := time.Duration(v.waitingTokens-v.waitingTokensAtState) * v.state.PrefillPerToken
+	own := time.Duration(v.waitingTokens) * v.state.PrefillPerToken
+	return max(v.state.WaitingWork+since, own), v.state.PrefillPerToken, true
+}
+
 // holdsModel reports whether the engine holds the base model: according to the
 // registration, which lags, or because it holds adapters of the model.
 func (v *view) holdsModel(model string) bool {
--- a/internal/locator/wait.go
+++ b/internal/locator/wait.go
@@ -41,6 +41,10 @@
 	// TurnBy is until when the request waits for its turn at an engine with a rate
 	// limit, as a reading of clock.Boot.
 	TurnBy time.Duration
+	// Customer is the xxhash of the customer's name, and Weight its share of capacity
+	// relative to others; 0 without a customer.
+	Customer uint64
+	Weight   float64
 }
 
 // Admission is the outcome of an AdmissionRequest.
@@ -71,13 +75,15 @@
 	statuses chan residency.Status
 	// forBatch is set if the request waits for room in the engine's batch.
 	forBatch bool
+	// tokens is the length of the prompt.
+	tokens int
 }
 
 // AwaitAdmission requests admission to an engine, and repeats the request until
 // the owner decides, does not answer in time, or ctx ends.
 func (l *Locator) AwaitAdmission(ctx context.Context, engine string, request AdmissionRequest) Admission {
 	request.Version = l.requestVersion(engine, request.Adapter)
-	w := l.startWait(engine, request.Ticket, !request.NeedsLoad)
+	w := l.startWait(engine, request)
 	defer l.endWait(engine, request.Ticket)
 	lastAnswerAt := clock.Boot()
 	ticker := time.NewTicker(requestInterval)
@@ -179,14 +185,15 @@
 	ticket uint64
 }
 
-func (l *Locator) startWait(engine string, ticket uint64, forBatch bool) *wait {
+func (l *Locator) startWait(engine string, request AdmissionRequest) *wait {
 	const bufferSize = 8
-	w := &wait{statuses: make(chan residency.Status, bufferSize), forBatch: forBatch}
+	w := &wait{statuses: make(chan residency.Status, bufferSize), forBatch: !request.NeedsLoad, tokens: request.PromptTokens}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.waits[waitKey{engine, ticket}] = w
-	if v := l.views[engine]; v != nil && forBatch {
+	l.waits[waitKey{engine, request.Ticket}] = w
+	if v := l.views[engine]; v != nil && w.forBatch {
 		v.waiting++
+		v.waitingTokens += w.tokens
 	}
 	return w
 }
@@ -199,6 +206,7 @@
 	delete(l.waits, key)
 	if v := l.views[engine]; v != nil && w.forBatch {
 		v.waiting--
+		v.waitingTokens -= w.tokens
 	}
 	unused := !l.admitted[key] && hasUnreadAdmission(w)
 	l.mu.Unlock()
@@ -241,8 +249,7 @@
 	key := waitKey{status.Engine, status.Ticket}
 	l.mu.Lock()
 	if v := l.views[status.Engine]; v != nil {
-		v.state.Waiting = status.Waiting
-		v.waitingAtState = v.waiting
+		v.applyStatus(status, l.waits[key])
 		v.ownerIncarnation = max(v.ownerIncarnation, status.Incarnation)
 		if status.Status == residency.NoRoom {
 			v.roomAt = max(v.roomAt, clock.Boot()+max(status.RoomIn, minRoomIn))
--- a/internal/mesh/packet.go
+++ b/internal/mesh/packet.go
@@ -244,7 +244,10 @@
 	Turned  int
 }
 
-// EngineState is the state of an engine as its owner knows it.
+// EngineState is the state of an engine as its owner knows it. WaitingWork is the time
+// that the engine needs for the prompts that it has yet to prefill, in milliseconds, and
+// PrefillPerToken the time for one of their tokens, in nanoseconds; 0 if the owner is of a
+// build that doesn't report them.
 type EngineState struct {
 	Engine       string        `cbor:"1,keyasint"`
 	Incarnation  int64         `cbor:"2,keyasint,omitempty"`
@@ -253,6 +256,9 @@
 	Held         []HeldAdapter `cbor:"6,keyasint,omitempty"`
 	Waiting      int           `cbor:"7,keyasint,omitempty"`
 	RateLimit    *RateLimit    `cbor:"8,keyasint,omitempty"`
+
+	WaitingWork     int64 `cbor:"9,keyasint,omitempty"`
+	PrefillPerToken int64 `cbor:"10,keyasint,omitempty"`
 }
 
 // HeldAdapter is an adapter that serves requests.
@@ -281,6 +287,11 @@
 	TurnBy         int64  `cbor:"11,keyasint,omitempty"`
 
 	RateLimit *RateLimit `cbor:"12,keyasint,omitempty"`
+
+	// Customer is the xxhash of the customer's name, and Weight its share of capacity
+	// relative to others; 0 without a customer.
+	Customer uint64  `cbor:"13,keyasint,omitempty"`
+	Weight   float64 `cbor:"14,keyasint,omitempty"`
 }
 
 // AdmissionStatus is the status of an admission request.
@@ -295,6 +306,9 @@
 	// RoomIn is when the engine's rate limit leaves room for another request, in
 	// milliseconds.
 	RoomIn int64 `cbor:"5,keyasint,omitempty"`
+	// WaitingWork and PrefillPerToken are those of EngineState.
+	WaitingWork     int64 `cbor:"7,keyasint,omitempty"`
+	PrefillPerToken int64 `cbor:"8,keyasint,omitempty"`
 }
 
 // AdmissionProgress reports on a request that was admitted.
--- a/internal/orders/pool.go
+++ b/internal/orders/pool.go
@@ -73,6 +73,9 @@
 	// RoomIn is when the engine's rate limit leaves room for another request, if
 	// Status is residency.NoRoom.
 	RoomIn time.Duration
+	// WaitingWork and PrefillPerToken are those of EngineState.
+	WaitingWork     time.Duration
+	PrefillPerToken time.Duration
 }
 
 // Assignment is an engine that this daemon owns and sends orders to.
@@ -91,7 +94,13 @@
 	PendingLoads int
 	// Waiting is the number of requests that wait for room in the engine's batch.
 	Waiting int
-	Held    []residency.HeldAdapter
+	// WaitingWork is the time that the engine needs for the prompts that it has yet to
+	// prefill: those that were admitted, and those that wait for room in its batch.
+	WaitingWork time.Duration
+	// PrefillPerToken is the learned time to prefill one token of a prompt; 0 if the
+	// engine's owner is of a build that doesn't report it.
+	PrefillPerToken time.Duration
+	Held            []residency.HeldAdapter
 	// RateLimit is what is known of the engine's rate limit.
 	RateLimit ratelimit.Knowledge
 	// RecentUsers lists the entries that have used the engine within recentUserTTL.
--- a/internal/orders/worker.go
+++ b/internal/orders/worker.go
@@ -149,6 +149,7 @@
 // holds mu.
 func (w *worker) statusMessage(now time.Duration, ticket uint64, status residency.Status) AdmissionStatus {
 	message := AdmissionStatus{Engine: w.upstream.ID, Ticket: ticket, Status: status, Waiting: w.gate.WaitingForBatch(w.status), Incarnation: w.engine.Incarnation()}
+	message.WaitingWork, message.PrefillPerToken = w.gate.WaitingWork(now, w.status), w.gate.PrefillPerToken()
 	if status == residency.NoRoom {
 		message.RoomIn = w.turnIn(now, 0)
 	}
@@ -311,6 +312,7 @@
 		RateLimit:    w.limiter.Known(),
 	}
 	state.Waiting = w.gate.WaitingForBatch(w.status)
+	state.WaitingWork, state.PrefillPerToken = w.gate.WaitingWork(now, w.status), w.gate.PrefillPerToken()
 	for _, r := range w.runningByEntry {
 		if now-r.reportedAt < runningCountTTL {
 			state.Running += r.requests
