admission: learn the fixed part of the time to the first event apart from the prefill pace

Cause: one figure, (time less 30 ms) / tokens, stood for both. On engines with a fixed part of 80 ms it came out two to three times too high, so batches held one prompt.

Requests that end or are refused without a first event are no samples any more.

--- a/internal/admission/gate.go
+++ b/internal/admission/gate.go
@@ -21,18 +21,12 @@
 	// admissions: two steps of about 9 ms, so that an event of three tokens is
 	// delayed by prefills only once.
 	admissionGap = 20 * time.Millisecond
-	// initialPrefillPerToken is the assumed prefill time per prompt token until it
-	// has been measured.
-	initialPrefillPerToken = 55 * time.Microsecond
-	// minPrefillPerToken and maxPrefillPerToken bound the measured values.
-	minPrefillPerToken = 10 * time.Microsecond
-	maxPrefillPerToken = time.Millisecond
-	// firstEventOverhead is the part of the time to the first event that is not
-	// prefill: some steps and the message latency.
-	firstEventOverhead = 30 * time.Millisecond
-	// lostAdmissionGrace is added to twice the expected prefill time; after that
-	// an admission without a report of its end is released.
-	lostAdmissionGrace = 250 * time.Millisecond
+	// lostAdmissionGrace is added to the overhead and twice the expected prefill time;
+	// after that an admission without a report of its end is released.
+	lostAdmissionGrace = 220 * time.Millisecond
+	// maxPromptTokens bounds the prompt lengths that entries state, so that sums of
+	// prefill times don't overflow.
+	maxPromptTokens = 1 << 20
 	// requestExpiry is how long a request stays queued unless its entry repeats it.
 	requestExpiry = 600 * time.Millisecond
 	// priorityDelay is how much later the first event of a request may be for
@@ -91,9 +85,9 @@
 
 // Gate admits requests to one engine. It is not safe for concurrent use.
 type Gate struct {
-	waiting         map[Key]*waiter
-	prefills        map[Key]prefill
-	prefillPerToken time.Duration
+	waiting  map[Key]*waiter
+	prefills map[Key]prefill
+	model    PrefillModel
 	// lastEndedAt is when the last prefill ended; 0 if none has.
 	lastEndedAt time.Duration
 	// admittedCount counts admissions, for the share of late requests.
@@ -102,7 +96,7 @@
 
 // NewGate returns a gate without requests.
 func NewGate() *Gate {
-	return &Gate{waiting: make(map[Key]*waiter), prefills: make(map[Key]prefill), prefillPerToken: initialPrefillPerToken}
+	return &Gate{waiting: make(map[Key]*waiter), prefills: make(map[Key]prefill), model: NewPrefillModel()}
 }
 
 // Enqueue adds a request or renews one that still waits. It ignores a request
@@ -111,6 +105,7 @@
 	if _, admitted := g.prefills[r.Key]; admitted {
 		return
 	}
+	r.PromptTokens = min(max(r.PromptTokens, 0), maxPromptTokens)
 	w := g.waiting[r.Key]
 	if w == nil {
 		w = &waiter{}
@@ -134,8 +129,8 @@
 	return p.adapter, ok
 }
 
-// Release ends a request's admission, because its first event has arrived or it
-// has ended. It removes a request that still waits.
+// Release ends a request's admission, because its first event has arrived. It removes a
+// request that still waits.
 func (g *Gate) Release(now time.Duration, key Key) {
 	p, ok := g.prefills[key]
 	if !ok {
@@ -144,16 +139,19 @@
 	}
 	delete(g.prefills, key)
 	g.lastEndedAt = now
-	if p.alone && p.tokens > 0 {
-		g.updatePrefillPerToken(now-p.admittedAt, p.tokens)
+	if p.alone {
+		g.model.Observe(p.tokens, now-p.admittedAt)
 	}
 }
 
-func (g *Gate) updatePrefillPerToken(took time.Duration, tokens int) {
-	const weight = 0.1
-	sample := max(took-firstEventOverhead, 0) / time.Duration(tokens)
-	sample = min(max(sample, minPrefillPerToken), maxPrefillPerToken)
-	g.prefillPerToken += time.Duration(weight * float64(sample-g.prefillPerToken))
+// Withdraw ends a request that waits, or is admitted and has ended, perhaps without a first
+// event: then the time that it took says nothing about prefills.
+func (g *Gate) Withdraw(now time.Duration, key Key) {
+	delete(g.waiting, key)
+	if _, ok := g.prefills[key]; ok {
+		delete(g.prefills, key)
+		g.lastEndedAt = now
+	}
 }
 
 // WaitingForBatch returns the number of requests that wait for room in the
@@ -185,7 +183,7 @@
 
 // PrefillPerToken returns the learned time to prefill one token of a prompt.
 func (g *Gate) PrefillPerToken() time.Duration {
-	return g.prefillPerToken
+	return g.model.PerToken()
 }
 
 // countWaiting returns the number of waiting requests whose adapter has a status.
@@ -200,7 +198,7 @@
 }
 
 func (g *Gate) prefillTime(tokens int) time.Duration {
-	return time.Duration(tokens) * g.prefillPerToken
+	return g.model.Prefill(tokens)
 }
 
 // WaitingAdapters calls yield for each adapter version that requests wait for,
@@ -233,7 +231,7 @@
 // isLate reports whether a request that is admitted at the given time misses its
 // objective.
 func (g *Gate) isLate(admittedAt time.Duration, w *waiter) bool {
-	return admittedAt+g.prefillTime(w.PromptTokens)+firstEventOverhead > w.FirstEventDue
+	return admittedAt+g.prefillTime(w.PromptTokens)+g.model.Overhead() > w.FirstEventDue
 }
 
 // weight returns the weight in load requests of a request with the priority.
@@ -313,13 +311,19 @@
 		}
 	}
 	for key, p := range g.prefills {
-		if now-p.admittedAt > 2*g.prefillTime(p.tokens)+lostAdmissionGrace {
+		if now-p.admittedAt > g.maxTimeToFirstEvent(p) {
 			delete(g.prefills, key)
 			g.lastEndedAt = now
 		}
 	}
 }
 
+// maxTimeToFirstEvent returns how long after its admission a request without a report is
+// taken for lost.
+func (g *Gate) maxTimeToFirstEvent(p prefill) time.Duration {
+	return g.model.Overhead() + 2*g.prefillTime(p.tokens) + lostAdmissionGrace
+}
+
 // fits reports whether the prefill of a request fits into the pause objective
 // together with those in progress.
 func (g *Gate) fits(r Request) bool {
@@ -387,7 +391,7 @@
 		wait = g.lastEndedAt + admissionGap - now
 	}
 	for _, p := range g.prefills {
-		wait = min(wait, p.admittedAt+2*g.prefillTime(p.tokens)+lostAdmissionGrace-now)
+		wait = min(wait, p.admittedAt+g.maxTimeToFirstEvent(p)-now)
 	}
 	return max(wait, time.Millisecond)
 }
--- a/internal/orders/worker.go
+++ b/internal/orders/worker.go
@@ -232,7 +232,11 @@
 	if progress.Ended {
 		w.engine.RecordEnd(now, key.Entry, key.Ticket)
 	}
-	w.gate.Release(now, key)
+	if progress.Ended || progress.Refused {
+		w.gate.Withdraw(now, key)
+	} else {
+		w.gate.Release(now, key)
+	}
 	w.admitWaiting(now, admission.Key{})
 	w.signal()
 }
