admission, orders: pace admissions by the time that prompts occupy the engine

Cause: the next batch began 20 ms after the reported first events of the former one. An engine was idle for the fixed part, the steps of the first event and the messages.

Change: pacer admits goes of at most 0.6 of the pause objective, prompts join one that is being prefilled, and the next go begins once the former is prefilled and streams have had 5 steps (more after a prompt beyond the limit and on slow engines). At most two goes and the overhead may be unreported, one go after an admission has expired without any report. The worker admits in a goroutine of its own, since a step may wait 150 ms for an answer of the engine.

TestNextWaitsForRelease checked the former rule; TestNextGoFollowsPrefillAndSteps checks the present one with both bounds. TestRequestsForColdAdaptersDoNotCountAsQueued has a prompt that can't join. TestLostAdmissionExpires takes the admission from either of two calls.

--- a/internal/admission/engine_model_test.go
+++ b/internal/admission/engine_model_test.go
@@ -15,7 +15,7 @@
 	Enqueue(now time.Duration, r Request)
 	Next(now time.Duration, freeSlots int, status func(topology.Adapter, int64) residency.Status) []Decision
 	Release(now time.Duration, key Key)
-	Withdraw(now time.Duration, key Key)
+	Withdraw(key Key)
 }
 
 // modelEngine describes an engine and its entries: the figures are from the engines' sheets.
@@ -222,7 +222,7 @@
 		r.ended = true
 		m.send(now, func(now time.Duration) {
 			m.admitted--
-			m.gate.Withdraw(now, r.key)
+			m.gate.Withdraw(r.key)
 		})
 		return true
 	})
--- a/internal/admission/former_gate_test.go
+++ b/internal/admission/former_gate_test.go
@@ -8,18 +8,26 @@
 	"github.com/barleylift/barleylift/internal/topology"
 )
 
+// formerPrefill is an admitted request; alone is set if no other was prefilled with it.
+type formerPrefill struct {
+	tokens     int
+	admittedAt time.Duration
+	alone      bool
+}
+
 // formerGate admits as the build 0de594e did: one batch at a time, the next one 20 ms after
 // the first events of all of them, by one figure for time and tokens. Tests compare with it.
 type formerGate struct {
 	waiting     map[Key]*waiter
-	prefills    map[Key]prefill
+	prefills    map[Key]formerPrefill
+	now         time.Duration
 	perToken    time.Duration
 	lastEndedAt time.Duration
 	admitted    int
 }
 
 func newFormerGate() *formerGate {
-	return &formerGate{waiting: make(map[Key]*waiter), prefills: make(map[Key]prefill), perToken: 55 * time.Microsecond}
+	return &formerGate{waiting: make(map[Key]*waiter), prefills: make(map[Key]formerPrefill), perToken: 55 * time.Microsecond}
 }
 
 func (g *formerGate) Enqueue(now time.Duration, r Request) {
@@ -43,11 +51,12 @@
 	}
 }
 
-func (g *formerGate) Withdraw(now time.Duration, key Key) { g.Release(now, key) }
+func (g *formerGate) Withdraw(key Key) { g.Release(g.now, key) }
 
 func (g *formerGate) prefillTime(tokens int) time.Duration { return time.Duration(tokens) * g.perToken }
 
 func (g *formerGate) Next(now time.Duration, freeSlots int, _ func(topology.Adapter, int64) residency.Status) []Decision {
+	g.now = now
 	for key, w := range g.waiting {
 		if now-w.lastRequestedAt > 600*time.Millisecond || now >= w.Deadline {
 			delete(g.waiting, key)
@@ -83,7 +92,7 @@
 			p.alone = false
 			g.prefills[key] = p
 		}
-		g.prefills[best.Key] = prefill{tokens: best.PromptTokens, admittedAt: now, alone: len(g.prefills) == 0}
+		g.prefills[best.Key] = formerPrefill{tokens: best.PromptTokens, admittedAt: now, alone: len(g.prefills) == 0}
 		g.admitted++
 		decisions = append(decisions, Decision{Request: best.Request, Status: residency.Ready})
 	}
--- a/internal/admission/gate.go
+++ b/internal/admission/gate.go
@@ -12,15 +12,6 @@
 
 // Constants of the admissions at one engine.
 const (
-	// prefillPauseShare is the share of the pause objective that prompts admitted
-	// together may take to prefill; the rest is left to the steps between them.
-	prefillPauseShare = 0.6
-	// defaultPauseObjective applies to routes without a pause objective.
-	defaultPauseObjective = 300 * time.Millisecond
-	// admissionGap is the time between the end of some prefills and the next
-	// admissions: two steps of about 9 ms, so that an event of three tokens is
-	// delayed by prefills only once.
-	admissionGap = 20 * time.Millisecond
 	// lostAdmissionGrace is added to the overhead and twice the expected prefill time;
 	// after that an admission without a report of its end is released.
 	lostAdmissionGrace = 220 * time.Millisecond
@@ -78,25 +69,29 @@
 type prefill struct {
 	adapter    topology.Adapter
 	tokens     int
+	work       time.Duration
 	admittedAt time.Duration
-	// alone is set if no other prompt has been prefilled at the same time.
-	alone bool
+	// dueAt is when its first event is expected.
+	dueAt time.Duration
+	// sharedTokens is an upper bound of the tokens of other prompts that the engine
+	// prefilled between the admission and the first event.
+	sharedTokens int
 }
 
 // Gate admits requests to one engine. It is not safe for concurrent use.
 type Gate struct {
 	waiting  map[Key]*waiter
 	prefills map[Key]prefill
-	model    PrefillModel
-	// lastEndedAt is when the last prefill ended; 0 if none has.
-	lastEndedAt time.Duration
+	pacer    pacer
+	// reportedAt is when the last first event was reported.
+	reportedAt time.Duration
 	// admittedCount counts admissions, for the share of late requests.
 	admittedCount int
 }
 
 // NewGate returns a gate without requests.
 func NewGate() *Gate {
-	return &Gate{waiting: make(map[Key]*waiter), prefills: make(map[Key]prefill), model: NewPrefillModel()}
+	return &Gate{waiting: make(map[Key]*waiter), prefills: make(map[Key]prefill), pacer: newPacer()}
 }
 
 // Enqueue adds a request or renews one that still waits. It ignores a request
@@ -138,19 +133,34 @@
 		return
 	}
 	delete(g.prefills, key)
-	g.lastEndedAt = now
-	if p.alone {
-		g.model.Observe(p.tokens, now-p.admittedAt)
+	g.pacer.end(p.work)
+	g.reportedAt = now
+	g.learn(p, now-p.admittedAt)
+	g.pacer.reported(now, p.dueAt)
+}
+
+// learn updates the model by the time from an admission to the first event. If other prompts
+// were prefilled meanwhile, the time tells something only if it is out of the range that
+// these leave open.
+func (g *Gate) learn(p prefill, took time.Duration) {
+	model := &g.pacer.model
+	shortest := model.Overhead() + model.Prefill(p.tokens)
+	longest := shortest + model.Prefill(p.sharedTokens)
+	switch {
+	case p.sharedTokens == 0 || took < shortest:
+		model.Observe(p.tokens, took)
+	case took > longest:
+		model.Observe(p.tokens+p.sharedTokens, took)
 	}
 }
 
 // Withdraw ends a request that waits, or is admitted and has ended, perhaps without a first
 // event: then the time that it took says nothing about prefills.
-func (g *Gate) Withdraw(now time.Duration, key Key) {
+func (g *Gate) Withdraw(key Key) {
 	delete(g.waiting, key)
-	if _, ok := g.prefills[key]; ok {
+	if p, ok := g.prefills[key]; ok {
 		delete(g.prefills, key)
-		g.lastEndedAt = now
+		g.pacer.end(p.work)
 	}
 }
 
@@ -169,21 +179,18 @@
 // WaitingWork returns the time that the engine needs for the prompts that it has yet to
 // prefill: those that were admitted and those that wait for room in its batch.
 func (g *Gate) WaitingWork(now time.Duration, status func(topology.Adapter, int64) residency.Status) time.Duration {
-	work := time.Duration(0)
-	for _, p := range g.prefills {
-		work += g.prefillTime(p.tokens)
-	}
+	waiting := time.Duration(0)
 	for _, w := range g.waiting {
 		if status(w.Adapter, w.Version) == residency.Ready {
-			work += g.prefillTime(w.PromptTokens)
+			waiting += g.prefillTime(w.PromptTokens)
 		}
 	}
-	return work
+	return g.pacer.backlog(now) + waiting
 }
 
 // PrefillPerToken returns the learned time to prefill one token of a prompt.
 func (g *Gate) PrefillPerToken() time.Duration {
-	return g.model.PerToken()
+	return g.pacer.model.PerToken()
 }
 
 // countWaiting returns the number of waiting requests whose adapter has a status.
@@ -198,7 +205,7 @@
 }
 
 func (g *Gate) prefillTime(tokens int) time.Duration {
-	return g.model.Prefill(tokens)
+	return g.pacer.model.Prefill(tokens)
 }
 
 // WaitingAdapters calls yield for each adapter version that requests wait for,
@@ -231,7 +238,7 @@
 // isLate reports whether a request that is admitted at the given time misses its
 // objective.
 func (g *Gate) isLate(admittedAt time.Duration, w *waiter) bool {
-	return admittedAt+g.prefillTime(w.PromptTokens)+g.model.Overhead() > w.FirstEventDue
+	return max(admittedAt, g.pacer.busyUntil)+g.prefillTime(w.PromptTokens)+g.pacer.model.Overhead() > w.FirstEventDue
 }
 
 // weight returns the weight in load requests of a request with the priority.
@@ -265,12 +272,12 @@
 			delete(g.waiting, key)
 		}
 	}
-	if len(g.prefills) > 0 || now < g.lastEndedAt+admissionGap {
+	if !g.mayJoin(now, ready) {
 		return decisions
 	}
 	for ; len(ready) > 0 && freeSlots > 0; freeSlots-- {
 		i := g.pick(now, ready)
-		if !g.fits(ready[i].Request) {
+		if !g.pacer.fits(now, ready[i].PromptTokens, ready[i].PauseObjective) {
 			break
 		}
 		g.admit(now, ready[i].Request)
@@ -280,6 +287,19 @@
 	return decisions
 }
 
+// mayJoin reports whether prompts may be admitted now. Between the end of a go's prefills and
+// the next go, prompts join the former only if none remains: each would put the next go off.
+func (g *Gate) mayJoin(now time.Duration, ready []*waiter) bool {
+	if now < g.pacer.busyUntil || now >= g.pacer.nextGoAt() {
+		return true
+	}
+	work := time.Duration(0)
+	for _, w := range ready {
+		work += g.prefillTime(w.PromptTokens)
+	}
+	return len(ready) > 0 && g.pacer.goWork+work <= goLimit(ready[0].PauseObjective)
+}
+
 // HasWaiting reports whether requests wait for admission.
 func (g *Gate) HasWaiting() bool {
 	return len(g.waiting) > 0
@@ -313,7 +333,8 @@
 	for key, p := range g.prefills {
 		if now-p.admittedAt > g.maxTimeToFirstEvent(p) {
 			delete(g.prefills, key)
-			g.lastEndedAt = now
+			g.pacer.end(p.work)
+			g.pacer.silent = g.pacer.silent || p.admittedAt >= g.reportedAt
 		}
 	}
 }
@@ -321,24 +342,7 @@
 // maxTimeToFirstEvent returns how long after its admission a request without a report is
 // taken for lost.
 func (g *Gate) maxTimeToFirstEvent(p prefill) time.Duration {
-	return g.model.Overhead() + 2*g.prefillTime(p.tokens) + lostAdmissionGrace
-}
-
-// fits reports whether the prefill of a request fits into the pause objective
-// together with those in progress.
-func (g *Gate) fits(r Request) bool {
-	if len(g.prefills) == 0 {
-		return true
-	}
-	objective := r.PauseObjective
-	if objective <= 0 {
-		objective = defaultPauseObjective
-	}
-	total := g.prefillTime(r.PromptTokens)
-	for _, p := range g.prefills {
-		total += g.prefillTime(p.tokens)
-	}
-	return total <= time.Duration(prefillPauseShare*float64(objective))
+	return p.dueAt - p.admittedAt + p.work + lostAdmissionGrace
 }
 
 // pick returns the index of the request to admit next: of those that can still
@@ -375,11 +379,19 @@
 
 func (g *Gate) admit(now time.Duration, r Request) {
 	delete(g.waiting, r.Key)
+	overhead := g.pacer.model.Overhead()
+	shared := int(g.pacer.backlog(now) / g.pacer.model.PerToken())
+	work := g.pacer.admit(now, r.PromptTokens, r.PauseObjective)
+	dueAt := g.pacer.busyUntil + overhead
 	for key, p := range g.prefills {
-		p.alone = false
+		p.sharedTokens += r.PromptTokens
+		if p.dueAt > now+overhead {
+			// Not yet prefilled; the engine may prefill both in one step.
+			p.dueAt = dueAt
+		}
 		g.prefills[key] = p
 	}
-	g.prefills[r.Key] = prefill{adapter: r.Adapter, tokens: r.PromptTokens, admittedAt: now, alone: len(g.prefills) == 0}
+	g.prefills[r.Key] = prefill{adapter: r.Adapter, tokens: r.PromptTokens, work: work, admittedAt: now, dueAt: dueAt, sharedTokens: shared}
 	g.admittedCount++
 }
 
@@ -387,8 +399,8 @@
 // admission expires.
 func (g *Gate) NextCheckDelay(now time.Duration) time.Duration {
 	wait := time.Second
-	if len(g.prefills) == 0 && len(g.waiting) > 0 && g.lastEndedAt+admissionGap > now {
-		wait = g.lastEndedAt + admissionGap - now
+	if next := g.pacer.nextGoAt(); len(g.waiting) > 0 && next > now {
+		wait = min(wait, next-now)
 	}
 	for _, p := range g.prefills {
 		wait = min(wait, p.admittedAt+g.maxTimeToFirstEvent(p)-now)
--- a/internal/admission/load_test.go
+++ b/internal/admission/load_test.go
@@ -69,6 +69,7 @@
 }
 
 // simulate runs the load through one engine, with or without the gate.
+
 func simulate(load []arrival, gated bool) streamCounts {
 	gate := NewGate()
 	var running []*fakeStream
@@ -185,6 +186,9 @@
 	}
 }
 
+// admitAt is when tests admit requests.
+const admitAt = 20 * time.Millisecond
+
 func gateWithRequests(requests ...Request) *Gate {
 	g := NewGate()
 	for i, r := range requests {
@@ -235,7 +239,7 @@
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			decisions := gateWithRequests(test.requests...).Next(admissionGap, slots, ready)
+			decisions := gateWithRequests(test.requests...).Next(admitAt, slots, ready)
 			if got := tickets(decisions, residency.Ready); !slices.Equal(got, test.admitted) {
 				t.Errorf("admitted %v, want %v", got, test.admitted)
 			}
@@ -246,21 +250,79 @@
 	}
 }
 
-func TestNextWaitsForRelease(t *testing.T) {
+// The next prompts are admitted when the former are prefilled and running streams have had
+// the steps of an event. Admitted earlier, they delay an event twice; admitted only after the
+// reports of first events, they leave the engine idle for the part of these that is no
+// prefill.
+func TestNextGoFollowsPrefillAndSteps(t *testing.T) {
+	const start = time.Minute
 	ready := func(topology.Adapter, int64) residency.Status { return residency.Ready }
-	g := gateWithRequests(Request{PromptTokens: 3000, FirstEventDue: time.Second}, Request{PromptTokens: 3000, FirstEventDue: 2 * time.Second})
-	if got := tickets(g.Next(admissionGap, slots, ready), residency.Ready); !slices.Equal(got, []uint64{1}) {
+	g := gateWithRequests(Request{PromptTokens: 3000, FirstEventDue: start + time.Second}, Request{PromptTokens: 3000, FirstEventDue: start + 2*time.Second})
+	for key, w := range g.waiting {
+		w.lastRequestedAt = start
+		g.waiting[key] = w
+	}
+	if got := tickets(g.Next(start, slots, ready), residency.Ready); !slices.Equal(got, []uint64{1}) {
 		t.Fatalf("admitted %v, want only ticket 1", got)
 	}
-	if got := g.Next(2*admissionGap, slots, ready); len(got) != 0 {
-		t.Fatalf("admitted before the first request's release: %v", got)
+	next := start + 3000*initialPrefillPerToken + g.pacer.gap()
+	if got := g.NextCheckDelay(start); start+got != next {
+		t.Errorf("next check after %v, want %v", got, next-start)
+	}
+	if got := g.Next(next-time.Millisecond, slots, ready); len(got) != 0 {
+		t.Errorf("admitted before the end of the prefill and the steps: %v", got)
+	}
+	if got := tickets(g.Next(next, slots, ready), residency.Ready); !slices.Equal(got, []uint64{2}) {
+		t.Errorf("admitted %v after that without a report, want only ticket 2", got)
 	}
-	g.Release(3*admissionGap, Key{Ticket: 1})
-	if got := g.Next(3*admissionGap, slots, ready); len(got) != 0 {
-		t.Errorf("admitted without a gap after the release: %v", got)
+}
+
+// Prompts that arrive while others are prefilled join them as long as all of them fit into
+// the pause objective: at a light load they must not wait for first events.
+func TestPromptsJoinAGo(t *testing.T) {
+	ready := func(topology.Adapter, int64) residency.Status { return residency.Ready }
+	g := gateWithRequests(Request{PromptTokens: 1000, FirstEventDue: time.Second})
+	g.Next(admitAt, slots, ready)
+	for _, join := range []struct {
+		ticket uint64
+		want   int
+	}{{2, 1}, {3, 0}} {
+		g.Enqueue(admitAt, Request{Key: Key{Ticket: join.ticket}, PromptTokens: 1500, FirstEventDue: time.Second, Deadline: time.Hour})
+		if got := g.Next(admitAt+5*time.Millisecond, slots, ready); len(got) != join.want {
+			t.Errorf("request %d: %d admitted beside those before, want %d", join.ticket, len(got), join.want)
+		}
 	}
-	if got := tickets(g.Next(4*admissionGap, slots, ready), residency.Ready); !slices.Equal(got, []uint64{2}) {
-		t.Errorf("admitted %v after the gap, want only ticket 2", got)
+}
+
+// A stalled engine reports nothing. What it is given meanwhile is prefilled in one go once it
+// goes on, so that must stay bounded, also after admissions have expired.
+func TestStalledEngineGetsNoMore(t *testing.T) {
+	ready := func(topology.Adapter, int64) residency.Status { return residency.Ready }
+	for _, tokens := range []int{200, 1000, 3000, 9000} {
+		g := NewGate()
+		work := time.Duration(tokens) * initialPrefillPerToken
+		bound := unreportedGoes*goLimit(pauseObjective) + initialOverhead
+		ticket := uint64(0)
+		var admitted []time.Duration
+		for now := time.Minute; now < time.Minute+4*time.Second; now += 10 * time.Millisecond {
+			ticket++
+			g.Enqueue(now, Request{Key: Key{Ticket: ticket}, PromptTokens: tokens, PauseObjective: pauseObjective, FirstEventDue: now + time.Second, Deadline: now + time.Second})
+			for range g.Next(now, 1000, ready) {
+				admitted = append(admitted, now)
+			}
+			recent := 0
+			for _, at := range admitted {
+				if now-at < lostAdmissionGrace+initialOverhead+work {
+					recent++
+				}
+			}
+			if total := time.Duration(recent) * work; total > max(bound, work) {
+				t.Fatalf("%d tokens a prompt: %v of prefill admitted within %v, want at most %v", tokens, total, lostAdmissionGrace+initialOverhead+work, bound)
+			}
+		}
+		if len(admitted) == 0 {
+			t.Errorf("%d tokens a prompt: nothing admitted", tokens)
+		}
 	}
 }
 
@@ -269,10 +331,10 @@
 func TestAdmissionsStayWithinTheSlots(t *testing.T) {
 	ready := func(topology.Adapter, int64) residency.Status { return residency.Ready }
 	g := gateWithRequests(Request{PromptTokens: 10, FirstEventDue: time.Second}, Request{PromptTokens: 10, FirstEventDue: time.Second}, Request{PromptTokens: 10, FirstEventDue: time.Second})
-	if got := g.Next(admissionGap, 2, ready); len(got) != 2 {
+	if got := g.Next(admitAt, 2, ready); len(got) != 2 {
 		t.Errorf("%d requests admitted with two free slots", len(got))
 	}
-	if got := gateWithRequests(Request{PromptTokens: 10}).Next(admissionGap, 0, ready); len(got) != 0 {
+	if got := gateWithRequests(Request{PromptTokens: 10}).Next(admitAt, 0, ready); len(got) != 0 {
 		t.Errorf("%d requests admitted without a free slot", len(got))
 	}
 }
@@ -281,11 +343,11 @@
 func TestLostAdmissionExpires(t *testing.T) {
 	ready := func(topology.Adapter, int64) residency.Status { return residency.Ready }
 	g := gateWithRequests(Request{PromptTokens: 3000, FirstEventDue: time.Second})
-	g.Next(admissionGap, slots, ready)
-	expiredAt := admissionGap + g.NextCheckDelay(admissionGap) + time.Millisecond
+	g.Next(admitAt, slots, ready)
+	expiredAt := admitAt + g.NextCheckDelay(admitAt) + time.Millisecond
 	g.Enqueue(expiredAt, Request{Key: Key{Ticket: 9}, PromptTokens: 3000, FirstEventDue: expiredAt + time.Second, Deadline: time.Hour})
-	g.Next(expiredAt, slots, ready)
-	if got := tickets(g.Next(expiredAt+admissionGap, slots, ready), residency.Ready); !slices.Equal(got, []uint64{9}) {
+	decisions := append(g.Next(expiredAt, slots, ready), g.Next(expiredAt+admitAt, slots, ready)...)
+	if got := tickets(decisions, residency.Ready); !slices.Equal(got, []uint64{9}) {
 		t.Errorf("admitted %v after a lost admission, want the waiting request", got)
 	}
 }
--- a/internal/orders/worker.go
+++ b/internal/orders/worker.go
@@ -32,6 +32,9 @@
 // send orders.
 const mayOrderCheckInterval = 100 * time.Millisecond
 
+// maxStepPause is the longest time between two steps: demands for loads expire.
+const maxStepPause = time.Second
+
 // runningCountTTL is how long an entry's count of running requests is used.
 const runningCountTTL = 3 * time.Second
 
@@ -41,11 +44,13 @@
 
 // worker sends orders to one engine.
 type worker struct {
-	pool     *Pool
-	log      *slog.Logger
-	wake     chan struct{}
-	stopped  chan struct{}
-	stopOnce sync.Once
+	pool *Pool
+	log  *slog.Logger
+	wake chan struct{}
+	// wakeAdmissions wakes the goroutine that admits requests whose time has come.
+	wakeAdmissions chan struct{}
+	stopped        chan struct{}
+	stopOnce       sync.Once
 
 	// mu guards the fields below; it is not held during I/O.
 	mu             sync.Mutex
@@ -79,6 +84,7 @@
 		pool:           pool,
 		log:            pool.log.With("engine", a.Engine.ID),
 		wake:           make(chan struct{}, 1),
+		wakeAdmissions: make(chan struct{}, 1),
 		stopped:        make(chan struct{}),
 		upstream:       a.Engine,
 		engine:         residency.NewEngine(a.Spec),
@@ -96,8 +102,14 @@
 }
 
 func (w *worker) signal() {
+	wake(w.wake)
+	wake(w.wakeAdmissions)
+}
+
+// wake wakes a goroutine that waits on a channel with a buffer of one.
+func wake(channel chan struct{}) {
 	select {
-	case w.wake <- struct{}{}:
+	case channel <- struct{}{}:
 	default:
 	}
 }
@@ -203,8 +215,8 @@
 		return status
 	}
 	own := w.admitWaiting(now, request.Key)
-	if own == residency.Waiting && w.limiter.Limited() {
-		w.signal() // its turn may come before the next step
+	if own == residency.Waiting {
+		wake(w.wakeAdmissions) // its time may come before that of the others
 	}
 	return own
 }
@@ -233,7 +245,7 @@
 		w.engine.RecordEnd(now, key.Entry, key.Ticket)
 	}
 	if progress.Ended || progress.Refused {
-		w.gate.Withdraw(now, key)
+		w.gate.Withdraw(key)
 	} else {
 		w.gate.Release(now, key)
 	}
@@ -343,6 +355,7 @@
 func (w *worker) run(ctx context.Context) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	go w.runAdmissions(ctx)
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	for {
@@ -371,14 +384,13 @@
 			}
 		})
 		w.admitWaiting(now, admission.Key{})
-		admissionDelay := w.nextAdmissionDelay(now)
 		if !allowed {
 			w.mu.Unlock()
-			return min(mayOrderCheckInterval, admissionDelay)
+			return mayOrderCheckInterval
 		}
 		if pause := max(w.retryAt, w.pausedUntil) - now; pause > 0 {
 			w.mu.Unlock()
-			return min(pause, admissionDelay)
+			return min(pause, maxStepPause)
 		}
 		action := w.engine.Next(now)
 		upstream := w.upstream
@@ -390,12 +402,33 @@
 		case action.Order != nil:
 			w.sendOrder(ctx, upstream, *action.Order, token)
 		default:
-			return min(action.Wait, admissionDelay)
+			return min(action.Wait, maxStepPause)
 		}
 	}
 	return mayOrderCheckInterval
 }
 
+// runAdmissions admits requests when their time has come. It is apart from the steps, which
+// may wait for an answer of the engine while prompts could be admitted.
+func (w *worker) runAdmissions(ctx context.Context) {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-w.wakeAdmissions:
+		case <-timer.C:
+		}
+		now := clock.Boot()
+		w.mu.Lock()
+		w.admitWaiting(now, admission.Key{})
+		delay := w.nextAdmissionDelay(now)
+		w.mu.Unlock()
+		timer.Reset(delay)
+	}
+}
+
 // nextAdmissionDelay returns the time until waiting requests may be admitted. The
 // caller holds mu.
 func (w *worker) nextAdmissionDelay(now time.Duration) time.Duration {
--- a/internal/orders/worker_test.go
+++ b/internal/orders/worker_test.go
@@ -122,9 +122,10 @@
 // would load the adapters that the engine holds at other engines too.
 func TestRequestsForColdAdaptersDoNotCountAsQueued(t *testing.T) {
 	pool := newPool(t)
+	// A prompt of 400,000 tokens takes 22 s, so the next one can't join it.
 	request := func(ticket uint64, adapter topology.Adapter) AdmissionStatus {
 		return pool.RequestAdmission("e", admission.Request{
-			Key: admission.Key{Entry: "vm", Ticket: ticket}, Adapter: adapter, PromptTokens: 10, PauseObjective: time.Second,
+			Key: admission.Key{Entry: "vm", Ticket: ticket}, Adapter: adapter, PromptTokens: 400_000, PauseObjective: time.Second,
 			FirstEventDue: clock.Boot() + time.Second, Deadline: clock.Boot() + time.Minute,
 		})
 	}
