admission: order requests of customers by priority classes and weighted shares

Cause: where customers share an engine, requests were admitted by when they are due, so one that sends many took the engine, and under an overload a less urgent priority could be served before a more urgent one.

Change: while any request that waits has a customer, fairOrder admits those that can still be on time first, the most urgent priority first. A less urgent one gets at least a quarter of what its part of the demand stands for, late requests a tenth of the admitted tokens. Within a priority the virtual token counter of internal/queue decides (now queue.VirtualTime, used by its bands too), then the time at which the first event is due. A request without a weight has the mean weight. Without customers the former order holds.

--- a/internal/admission/gate.go
+++ b/internal/admission/gate.go
@@ -83,6 +83,8 @@
 	waiting  map[Key]*waiter
 	prefills map[Key]prefill
 	pacer    pacer
+	// fair orders requests while any that waits has a customer.
+	fair fairOrder
 	// reportedAt is when the last first event was reported.
 	reportedAt time.Duration
 	// admittedCount counts admissions, for the share of late requests.
@@ -101,12 +103,17 @@
 		return
 	}
 	r.PromptTokens = min(max(r.PromptTokens, 0), maxPromptTokens)
+	r.Weight = boundedWeight(r.Weight)
 	w := g.waiting[r.Key]
-	if w == nil {
+	isNew := w == nil
+	if isNew {
 		w = &waiter{}
 		g.waiting[r.Key] = w
 	}
 	w.Request = r
+	if isNew {
+		g.fair.arrive(now, w)
+	}
 	w.lastRequestedAt = now
 }
 
@@ -164,89 +171,16 @@
 	}
 }
 
-// WaitingForBatch returns the number of requests that wait for room in the
-// engine's batch. Those that wait for their adapter's load are not counted: they
-// don't delay requests for adapters that the engine holds.
-func (g *Gate) WaitingForBatch(status func(topology.Adapter, int64) residency.Status) int {
-	return g.countWaiting(status, residency.Ready)
-}
-
-// WaitingForLoad returns the number of requests that wait for their adapter's load.
-func (g *Gate) WaitingForLoad(status func(topology.Adapter, int64) residency.Status) int {
-	return g.countWaiting(status, residency.Waiting)
-}
-
-// WaitingWork returns the time that the engine needs for the prompts that it has yet to
-// prefill: those that were admitted and those that wait for room in its batch.
-func (g *Gate) WaitingWork(now time.Duration, status func(topology.Adapter, int64) residency.Status) time.Duration {
-	waiting := time.Duration(0)
-	for _, w := range g.waiting {
-		if status(w.Adapter, w.Version) == residency.Ready {
-			waiting += g.prefillTime(w.PromptTokens)
-		}
-	}
-	return g.pacer.backlog(now) + waiting
-}
-
-// PrefillPerToken returns the learned time to prefill one token of a prompt.
-func (g *Gate) PrefillPerToken() time.Duration {
-	return g.pacer.model.PerToken()
-}
-
-// countWaiting returns the number of waiting requests whose adapter has a status.
-func (g *Gate) countWaiting(status func(topology.Adapter, int64) residency.Status, want residency.Status) int {
-	n := 0
-	for _, w := range g.waiting {
-		if status(w.Adapter, w.Version) == want {
-			n++
-		}
-	}
-	return n
-}
-
 func (g *Gate) prefillTime(tokens int) time.Duration {
 	return g.pacer.model.Prefill(tokens)
 }
 
-// WaitingAdapters calls yield for each adapter version that requests wait for,
-// with the demand for it if a load takes loadTime from now on.
-func (g *Gate) WaitingAdapters(now, loadTime time.Duration, yield func(adapter topology.Adapter, version int64, demand residency.Demand)) {
-	type adapterVersion struct {
-		adapter topology.Adapter
-		version int64
-	}
-	demands := make(map[adapterVersion]residency.Demand)
-	for _, w := range g.waiting {
-		key := adapterVersion{w.Adapter, w.Version}
-		demand := demands[key]
-		switch {
-		case !g.isLate(now+loadTime, w):
-			if demand.Timely == 0 || w.FirstEventDue < demand.Due {
-				demand.Due = w.FirstEventDue
-			}
-			demand.Timely += weight(w.Priority)
-		case now+loadTime < w.Deadline:
-			demand.Late += weight(w.Priority)
-		}
-		demands[key] = demand
-	}
-	for key, demand := range demands {
-		yield(key.adapter, key.version, demand)
-	}
-}
-
 // isLate reports whether a request that is admitted at the given time misses its
 // objective.
 func (g *Gate) isLate(admittedAt time.Duration, w *waiter) bool {
 	return max(admittedAt, g.pacer.busyUntil)+g.prefillTime(w.PromptTokens)+g.pacer.model.Overhead() > w.FirstEventDue
 }
 
-// weight returns the weight in load requests of a request with the priority.
-func weight(priority int) float64 {
-	const lowest = 4
-	return float64(1 + max(lowest-priority, 0))
-}
-
 // Decision is the status to report to the request's entry.
 type Decision struct {
 	Request
@@ -276,14 +210,19 @@
 		return decisions
 	}
 	for ; len(ready) > 0 && freeSlots > 0; freeSlots-- {
-		i := g.pick(now, ready)
-		if !g.pacer.fits(now, ready[i].PromptTokens, ready[i].PauseObjective) {
+		i, picked := g.pick(now, ready)
+		r := ready[i].Request
+		if !g.pacer.fits(now, r.PromptTokens, r.PauseObjective) {
 			break
 		}
-		g.admit(now, ready[i].Request)
-		decisions = append(decisions, Decision{Request: ready[i].Request, Status: residency.Ready})
+		if picked.w != nil {
+			g.fair.admit(now, picked, ready, func(w *waiter) bool { return g.isLate(now, w) })
+		}
+		g.admit(now, r)
+		decisions = append(decisions, Decision{Request: r, Status: residency.Ready})
 		ready = slices.Delete(ready, i, i+1)
 	}
+	g.fair.resetIdle(g.waiting)
 	return decisions
 }
 
@@ -345,11 +284,16 @@
 	return p.dueAt - p.admittedAt + p.work + lostAdmissionGrace
 }
 
-// pick returns the index of the request to admit next: of those that can still
-// meet their objective the one due first, adjusted by priority. Every
-// lateInterval-th admission goes to the first due of those that can't.
-func (g *Gate) pick(now time.Duration, ready []*waiter) int {
+// pick returns the index of the request to admit next. Where requests have customers, these
+// decide. Otherwise it is, of those that can still meet their objective, the one due first,
+// adjusted by priority, and every lateInterval-th admission goes to the first due of those
+// that can't.
+func (g *Gate) pick(now time.Duration, ready []*waiter) (int, choice) {
 	isLate := func(w *waiter) bool { return g.isLate(now, w) }
+	if slices.ContainsFunc(ready, func(w *waiter) bool { return w.Customer != 0 }) {
+		picked := g.fair.pick(ready, isLate)
+		return slices.Index(ready, picked.w), picked
+	}
 	lateFirst := g.admittedCount%lateInterval == lateInterval-1
 	best := 0
 	for i := range ready {
@@ -357,7 +301,7 @@
 			best = i
 		}
 	}
-	return best
+	return best, choice{}
 }
 
 func compare(a, b *waiter, isLate func(*waiter) bool, lateFirst bool) int {
@@ -368,13 +312,16 @@
 		return 1
 	}
 	due := func(w *waiter) time.Duration { return w.FirstEventDue + time.Duration(w.Priority)*priorityDelay }
-	if c := cmp.Compare(due(a), due(b)); c != 0 {
-		return c
-	}
-	if c := cmp.Compare(a.Entry, b.Entry); c != 0 {
-		return c
-	}
-	return cmp.Compare(a.Ticket, b.Ticket)
+	return cmp.Or(cmp.Compare(due(a), due(b)), compareKeys(a, b))
+}
+
+// compareDue orders requests by when their first events are due.
+func compareDue(a, b *waiter) int {
+	return cmp.Or(cmp.Compare(a.FirstEventDue, b.FirstEventDue), compareKeys(a, b))
+}
+
+func compareKeys(a, b *waiter) int {
+	return cmp.Or(cmp.Compare(a.Entry, b.Entry), cmp.Compare(a.Ticket, b.Ticket))
 }
 
 func (g *Gate) admit(now time.Duration, r Request) {
--- a/internal/queue/band.go
+++ b/internal/queue/band.go
@@ -8,11 +8,10 @@
 
 // band holds the waiting entries of one urgency.
 type band struct {
-	entries   entryList
-	customers map[string]*customer
-	active    customerHeap
-	// virtualTime is in tokens per weight.
-	virtualTime float64
+	entries     entryList
+	customers   map[string]*customer
+	active      customerHeap
+	virtualTime VirtualTime
 	// activeWeight is the sum of the weights of active customers.
 	activeWeight float64
 	// credit is the tokens that the band may be served before more urgent
@@ -51,7 +50,7 @@
 	c, ok := b.customers[e.Customer]
 	if !ok {
 		b.sweep()
-		c = &customer{name: e.Customer, counter: b.virtualTime}
+		c = &customer{name: e.Customer, counter: float64(b.virtualTime)}
 		b.customers[e.Customer] = c
 	} else {
 		b.charge(c, float64(e.ServedElsewhere)/e.Weight)
@@ -73,7 +72,7 @@
 		return
 	}
 	for name, c := range b.customers {
-		if c.count == 0 && c.counter <= b.virtualTime {
+		if c.count == 0 && c.counter <= float64(b.virtualTime) {
 			delete(b.customers, name)
 		}
 	}
@@ -83,7 +82,7 @@
 // counter to the band's virtual time.
 func (b *band) activate(c *customer, weight float64) {
 	c.weight = weight
-	c.counter = max(c.counter, b.virtualTime)
+	c.counter = b.virtualTime.Raise(c.counter)
 	b.activeWeight += weight
 	heap.Push(&b.active, c)
 }
@@ -99,7 +98,7 @@
 	}
 	heap.Remove(&b.active, c.heapIndex)
 	b.activeWeight -= c.weight
-	if c.counter <= b.virtualTime {
+	if c.counter <= float64(b.virtualTime) {
 		delete(b.customers, c.name)
 	}
 	if b.count == 0 {
@@ -114,14 +113,13 @@
 	b.virtualTime, b.activeWeight, b.credit = 0, 0, 0
 }
 
-// serve charges a customer for a dispatched item and sets the band's virtual
-// time to the item's start tag (start-time fair queueing, Goyal, Vin and Cheng,
-// 1996). The customer's counter is first raised to the virtual time, so that
-// one whose adapters were not ready gains no credit meanwhile.
+// serve charges a customer for a dispatched item. One whose adapters were not
+// ready gains no credit meanwhile.
 func (b *band) serve(c *customer, tokens float64) {
-	c.counter = max(c.counter, b.virtualTime)
-	b.virtualTime = c.counter
-	b.charge(c, tokens)
+	c.counter = b.virtualTime.Serve(c.counter, tokens)
+	if c.count > 0 {
+		heap.Fix(&b.active, c.heapIndex)
+	}
 }
 
 // charge adds to a customer's counter.
--- a/internal/queue/wait.go
+++ b/internal/queue/wait.go
@@ -17,7 +17,7 @@
 	b := &q.bands[item.Urgency]
 	virtualAhead, weight := 0.0, b.activeWeight+item.Weight
 	if c, ok := b.customers[item.Customer]; ok {
-		virtualAhead = max(c.counter-b.virtualTime, 0) + float64(c.cost)/item.Weight
+		virtualAhead = max(c.counter-float64(b.virtualTime), 0) + float64(c.cost)/item.Weight
 		if c.count > 0 {
 			weight = b.activeWeight
 		}
@@ -113,7 +113,7 @@
 		return false
 	}
 	b := &q.bands[e.Urgency]
-	virtualAhead := max(e.customer.counter-b.virtualTime, 0) + float64(e.customer.cost-e.Cost)/e.Weight
+	virtualAhead := max(e.customer.counter-float64(b.virtualTime), 0) + float64(e.customer.cost-e.Cost)/e.Weight
 	return q.waitBehind(e.Urgency, virtualAhead*b.activeWeight) > e.Deadline.Sub(now)
 }
 
