relay, locator: a request that waits behind known work keeps its place

The owner kept the former ticket for up to 600 ms and might admit it, for nobody.

Change: after each 200 ms the request stays unless another holder has at least 100 ms less work waiting, by what the owners report. Where the work is unknown (earlier builds) or all slots are taken, it moves as before. A request that moves or gives up is withdrawn at the owner, also at one of an earlier build, which drops a waiting request on that message.

--- a/internal/locator/view.go
+++ b/internal/locator/view.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/barleylift/barleylift/internal/clock"
 	"github.com/barleylift/barleylift/internal/orders"
 	"github.com/barleylift/barleylift/internal/ratelimit"
 	"github.com/barleylift/barleylift/internal/residency"
@@ -180,6 +181,21 @@
 	return max(v.state.WaitingWork+since, own), v.state.PrefillPerToken, true
 }
 
+// WaitingWork estimates the time that an engine needs for the prompts that it has yet to
+// prefill. It returns false if that is unknown, or does not tell how long a request waits
+// there: all of the engine's slots are taken.
+func (l *Locator) WaitingWork(engine string) (time.Duration, bool) {
+	now := clock.Boot()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	v := l.views[engine]
+	if v == nil || v.upstream.Slots > 0 && v.estimateRunning(now) >= v.upstream.Slots {
+		return 0, false
+	}
+	work, _, ok := v.estimateWaitingWork(now)
+	return work, ok
+}
+
 // holdsModel reports whether the engine holds the base model: according to the
 // registration, which lags, or because it holds adapters of the model.
 func (v *view) holdsModel(model string) bool {
--- a/internal/locator/wait.go
+++ b/internal/locator/wait.go
@@ -41,6 +41,10 @@
 	// TurnBy is until when the request waits for its turn at an engine with a rate
 	// limit, as a reading of clock.Boot.
 	TurnBy time.Duration
+	// ReconsiderAfter is the time after which MayStay is asked, again and again, whether
+	// the request goes on waiting; 0 for never.
+	ReconsiderAfter time.Duration
+	MayStay         func() bool
 	// Customer is the xxhash of the customer's name, and Weight its share of capacity
 	// relative to others; 0 without a customer.
 	Customer uint64
@@ -88,6 +92,12 @@
 	lastAnswerAt := clock.Boot()
 	ticker := time.NewTicker(requestInterval)
 	defer ticker.Stop()
+	var reconsider <-chan time.Time
+	if request.ReconsiderAfter > 0 {
+		ticker := time.NewTicker(request.ReconsiderAfter)
+		defer ticker.Stop()
+		reconsider = ticker.C
+	}
 	for {
 		if !l.config.SendRequest(engine, request) {
 			return l.recordSilentOwner(engine, request, "unknown")
@@ -99,16 +109,20 @@
 				return l.applyDecision(engine, request, status)
 			}
 			// The owner has queued the request; repeat it at the next tick.
-			status, waiting := l.awaitTick(ctx, w, ticker)
+			status, waiting := l.awaitTick(ctx, w, request, ticker.C, reconsider)
 			if !waiting {
-				return WaitEnded
+				return l.withdraw(engine, request)
 			}
 			if status != residency.Waiting {
 				return l.applyDecision(engine, request, status)
 			}
 		case <-ticker.C:
+		case <-reconsider:
+			if !request.MayStay() {
+				return l.withdraw(engine, request)
+			}
 		case <-ctx.Done():
-			return WaitEnded
+			return l.withdraw(engine, request)
 		}
 		if clock.Boot()-lastAnswerAt > answerTimeout {
 			return l.recordSilentOwner(engine, request, "silent")
@@ -116,17 +130,28 @@
 	}
 }
 
+// withdraw tells the owner that a request no longer waits. It would admit it otherwise, and
+// keep others from its place until it learns that the admission is not used.
+func (l *Locator) withdraw(engine string, request AdmissionRequest) Admission {
+	l.config.SendProgress(engine, request.Ticket, orders.AdmissionProgress{Ended: true})
+	return WaitEnded
+}
+
 // awaitTick waits for the next tick or a final status. It returns false if ctx
-// ended first.
-func (l *Locator) awaitTick(ctx context.Context, w *wait, ticker *time.Ticker) (residency.Status, bool) {
+// ended or the request may not stay.
+func (l *Locator) awaitTick(ctx context.Context, w *wait, request AdmissionRequest, tick, reconsider <-chan time.Time) (residency.Status, bool) {
 	for {
 		select {
 		case status := <-w.statuses:
 			if status != residency.Waiting {
 				return status, true
 			}
-		case <-ticker.C:
+		case <-tick:
 			return residency.Waiting, true
+		case <-reconsider:
+			if !request.MayStay() {
+				return residency.Waiting, false
+			}
 		case <-ctx.Done():
 			return residency.Waiting, false
 		}
--- a/internal/locator/work_test.go
+++ b/internal/locator/work_test.go
@@ -39,3 +39,27 @@
 		t.Errorf("%v of work once the own prompt is admitted, want %v", got, want)
 	}
 }
+
+// A request that no longer waits must be withdrawn: its owner would admit it and keep others
+// from its place. One that may stay keeps its ticket, and so its place.
+func TestRequestThatNoLongerWaitsIsWithdrawn(t *testing.T) {
+	o := newOwner(t)
+	l := o.locator
+	l.SetUpstream(engine("e", nil))
+	tickets := make(map[uint64]bool)
+	o.answer = func(engine string, request AdmissionRequest) bool {
+		tickets[request.Ticket] = true
+		l.HandleStatus(orders.AdmissionStatus{Engine: engine, Ticket: request.Ticket, Status: residency.Waiting})
+		return true
+	}
+	asked := 0
+	got := l.AwaitAdmission(t.Context(), "e", AdmissionRequest{
+		Ticket: 5, Adapter: climb, ReconsiderAfter: time.Millisecond, MayStay: func() bool { asked++; return asked < 3 },
+	})
+	if got != WaitEnded || asked != 3 || len(tickets) != 1 {
+		t.Errorf("%v after %d looks at other engines with tickets %v, want %v after 3 with one ticket", got, asked, tickets, WaitEnded)
+	}
+	if len(o.released) != 1 || <-o.released != 5 {
+		t.Error("the request was not withdrawn")
+	}
+}
--- a/internal/relay/model.go
+++ b/internal/relay/model.go
@@ -19,9 +19,16 @@
 // Limits of model requests.
 const (
 	// maxAdmissionWait is how long a request waits for admission at one engine
-	// that holds its adapter: a batch of prompts or two. An entry knows the queue of
-	// an engine that it rarely uses only once it has asked there.
+	// that holds its adapter before another one is considered: a batch of prompts or
+	// two. An entry knows the queue of an engine that it rarely uses only once it has
+	// asked there.
 	maxAdmissionWait = 200 * time.Millisecond
+	// minMoveGain is how much less work must wait at another engine to make a request
+	// move there: its message and the steps between prompts take some 50 ms.
+	minMoveGain = 100 * time.Millisecond
+	// unknownWork is the work that is assumed at an engine whose owner has reported none
+	// to this entry: a batch of prompts.
+	unknownWork = 100 * time.Millisecond
 	// declinedBackoff is the pause before the next choice of an engine after an
 	// engine's owner declined; it doubles up to maxDeclinedBackoff.
 	declinedBackoff    = 30 * time.Millisecond
@@ -120,8 +127,12 @@
 	started := time.Now()
 	now := clock.Boot()
 	ticket = engines.NewTicket()
-	ctx, cancel := e.admissionContext(choice)
+	ctx, cancel := e.admissionContext()
 	defer cancel()
+	reconsiderAfter := maxAdmissionWait
+	if choice.NeedsLoad {
+		reconsiderAfter = 0
+	}
 	admission := engines.AwaitAdmission(ctx, choice.Engine, locator.AdmissionRequest{
 		Ticket:         ticket,
 		Adapter:        e.call.Adapter,
@@ -132,6 +143,9 @@
 		Deadline:       now + e.timeToSend(),
 		NeedsLoad:      choice.NeedsLoad,
 		TurnBy:         now + e.maxTurnWait(choice.NeedsLoad),
+
+		ReconsiderAfter: reconsiderAfter,
+		MayStay:         func() bool { return e.mayStay(choice.Engine) },
 	})
 	if admission == locator.Declined || admission == locator.Unowned && choice.NeedsLoad {
 		e.backOff()
@@ -200,22 +214,36 @@
 	return min(e.timeLeft(), time.Until(e.sendDeadline()))
 }
 
-// admissionContext limits the wait for admission. At an engine that holds the
-// adapter, the engine is selected anew after maxAdmissionWait: another engine
-// may hold the adapter by then, or have fewer requests waiting. Admissions are
-// ordered by when a request is due, so the request loses nothing if the same
-// engine is selected again.
-func (e *exchange) admissionContext(choice steer.Choice) (context.Context, context.CancelFunc) {
+// admissionContext limits the wait for admission.
+func (e *exchange) admissionContext() (context.Context, context.CancelFunc) {
 	deadline := e.deadline
 	if e.sends == 0 {
 		deadline = e.sendDeadline()
 	}
-	if reselectAt := time.Now().Add(maxAdmissionWait); !choice.NeedsLoad && reselectAt.Before(deadline) {
-		deadline = reselectAt
-	}
 	return context.WithDeadline(e.ctx, deadline)
 }
 
+// mayStay reports whether a request that waits at an engine that holds its adapter keeps its
+// place there: unless another engine that holds it by now has clearly less work waiting. At an
+// engine of which that is unknown, for example as its owner is of an earlier build, the request
+// gives its place up and the engine is selected anew.
+func (e *exchange) mayStay(engine string) bool {
+	engines := e.relay.config.Locator
+	work, ok := engines.WaitingWork(engine)
+	if !ok {
+		return false
+	}
+	other, ok := steer.PickEngine(e.call.Adapter, engines.Engines(e.need(), e.tried), e.random())
+	if !ok || other.NeedsLoad || other.Engine == engine {
+		return true
+	}
+	otherWork, ok := engines.WaitingWork(other.Engine)
+	if !ok {
+		otherWork = unknownWork
+	}
+	return otherWork+minMoveGain > work
+}
+
 // tryEngine sends the request to an engine and forwards its response. It
 // reports whether the request has ended.
 func (e *exchange) tryEngine(id string, ticket uint64) bool {
