admission, orders, locator, relay: decline requests of customers that are too late at once

Cause: a request whose turn came after its deadline was held until then and refused with a fixed Retry-After of a second.

Change: the gate estimates, every 50 ms, the turn of each waiting request from the work ahead of it in its class and by its customer's share. It declines those that would begin after their deadline (residency.TooLate with RoomIn), but holds two of each priority, timely and late, for the minimum shares. Only requests with a customer get the answer, so entries of earlier builds don't. The minimum shares are now credited by demand whether or not a request waits, saved up to one long prompt, and decrease with the priority: a less urgent priority of a twentieth of the demand was served better than one before it.

TestPrioritiesInOverload sums four loads: a twentieth of one is 25 requests.

--- a/internal/admission/gate.go
+++ b/internal/admission/gate.go
@@ -87,6 +87,8 @@
 	fair fairOrder
 	// reportedAt is when the last first event was reported.
 	reportedAt time.Duration
+	// hopelessCheckedAt is when requests that are too late were last looked for.
+	hopelessCheckedAt time.Duration
 	// admittedCount counts admissions, for the share of late requests.
 	admittedCount int
 }
@@ -185,6 +187,8 @@
 type Decision struct {
 	Request
 	Status residency.Status
+	// RoomIn is when there is room for the request, if Status is residency.TooLate.
+	RoomIn time.Duration
 }
 
 // Next removes expired requests and returns those it admits and those it
@@ -206,6 +210,14 @@
 			delete(g.waiting, key)
 		}
 	}
+	hopeless := g.hopeless(now, ready)
+	for _, d := range hopeless {
+		delete(g.waiting, d.Key)
+		decisions = append(decisions, d)
+	}
+	if len(hopeless) > 0 {
+		ready = slices.DeleteFunc(ready, func(w *waiter) bool { return g.waiting[w.Key] == nil })
+	}
 	if !g.mayJoin(now, ready) {
 		return decisions
 	}
--- a/internal/admission/order.go
+++ b/internal/admission/order.go
@@ -18,9 +18,15 @@
 	// part of the demand stands for, while more urgent requests would take all. In
 	// relation to the demand, a class is never served better than a more urgent one.
 	minClassShare = 0.25
+	// classShareDecay lowers that share with each priority: each is credited for the
+	// service of all more urgent ones, of which the last has the most.
+	classShareDecay = 0.75
 	// minLateShare is the share of the admitted tokens that goes to requests which miss
 	// their objective: a late answer is worth 10 to 30 in 100 of a timely one.
 	minLateShare = 0.1
+	// maxCredit is the most tokens that a share saves up: one long prompt. A longer one
+	// needs no more, and leaves a debt.
+	maxCredit = 4096
 	// demandHalfLife is the half-life of the demand of a class.
 	demandHalfLife = 5 * time.Second
 	// maxCustomers is the number of customers of a class from which on those without
@@ -76,12 +82,9 @@
 	for i := range o.classes {
 		if c := &o.classes[i]; !waits[i] {
 			clear(c.counters)
-			c.virtualTime, c.credit = 0, 0
+			c.virtualTime = 0
 		}
 	}
-	if len(waiting) == 0 {
-		o.lateCredit = 0
-	}
 }
 
 // choice is the head of a class, and whether credits pay for it.
@@ -104,11 +107,11 @@
 		}
 	}
 	firstLate := firstOf(late)
-	if firstLate != nil && o.lateCredit >= cost(firstLate) {
+	if firstLate != nil && o.lateCredit >= min(cost(firstLate), maxCredit) {
 		return choice{w: firstLate, late: true, credit: true}
 	}
-	for i, w := range slices.Backward(timely[:]) {
-		if w != nil && o.classes[i].credit >= cost(w) {
+	for i, w := range timely {
+		if w != nil && o.classes[i].credit >= min(cost(w), maxCredit) {
 			return choice{w: w, credit: true}
 		}
 	}
@@ -138,7 +141,8 @@
 	return compareDue(a, b)
 }
 
-// admit charges an admitted request, and credits the classes that wait behind it.
+// admit charges an admitted request, and credits the less urgent classes by their demand: also
+// one of which none waits, as its requests may have been declined.
 func (o *fairOrder) admit(now time.Duration, picked choice, ready []*waiter, isLate func(*waiter) bool) {
 	tokens := cost(picked.w)
 	own := classOf(picked.w)
@@ -149,29 +153,20 @@
 	case picked.credit:
 		o.classes[own].credit -= tokens
 	}
-	var waits [priorityCount]bool
-	lateWaits := false
-	for _, w := range ready {
-		if w == picked.w {
-			continue
-		}
-		if isLate(w) {
-			lateWaits = true
-		} else {
-			waits[classOf(w)] = true
-		}
-	}
+	lateWaits := slices.ContainsFunc(ready, func(w *waiter) bool { return w != picked.w && isLate(w) })
 	if lateWaits && !picked.late {
-		o.lateCredit += minLateShare * tokens
+		o.lateCredit = min(o.lateCredit+minLateShare*tokens, maxCredit)
 	}
+	var demands [priorityCount]float64
 	total := 0.0
 	for i := range o.classes {
-		total += o.classes[i].demandNow(now)
+		demands[i] = o.classes[i].demandNow(now)
+		total += demands[i]
 	}
 	for i := own + 1; i < priorityCount && total > 0; i++ {
-		if waits[i] {
-			o.classes[i].credit += minClassShare * o.classes[i].demandNow(now) / total * tokens
-		}
+		c := &o.classes[i]
+		share := minClassShare * math.Pow(classShareDecay, float64(i-1)) * demands[i] / total
+		c.credit = min(c.credit+share*tokens, maxCredit)
 	}
 }
 
--- a/internal/admission/order_test.go
+++ b/internal/admission/order_test.go
@@ -80,19 +80,23 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			for _, rho := range []float64{0.7, 1.2, 2} {
-				var served, starved [3]float64
-				requests := customerEngine.run(NewGate(), customerLoad(1, perSecondFor(rho), 1, shares), 1)
-				for priority := range served {
-					result := customerEngine.summarize(requests, func(r *modelRequest) bool { return r.priority == priority })
+				var results [3]modelResult
+				for seed := range uint64(4) { // a twentieth of one load is 25 requests
+					requests := customerEngine.run(NewGate(), customerLoad(seed, perSecondFor(rho), 1, shares), seed)
+					for priority := range results {
+						results[priority] = results[priority].plus(customerEngine.summarize(requests, func(r *modelRequest) bool { return r.priority == priority }))
+					}
+				}
+				var served [3]float64
+				for priority, result := range results {
 					served[priority] = float64(result.timely) / float64(result.all)
-					starved[priority] = float64(result.started)
 				}
 				t.Logf("rho %.1f: shares served in time %.2f", rho, served)
 				for priority := 1; priority < 3; priority++ {
 					if served[priority] > served[priority-1]+0.05 {
 						t.Errorf("rho %.1f: %.2f of priority %d served in time, %.2f of priority %d", rho, served[priority], priority, served[priority-1], priority-1)
 					}
-					if starved[priority] == 0 {
+					if results[priority].started == 0 {
 						t.Errorf("rho %.1f: none of priority %d served", rho, priority)
 					}
 				}
--- a/internal/locator/locator_test.go
+++ b/internal/locator/locator_test.go
@@ -165,6 +165,7 @@
 		{"admitted", []residency.Status{residency.Ready}, true, Admitted},
 		{"admitted later", []residency.Status{residency.Waiting, residency.Ready}, true, Admitted},
 		{"declined", []residency.Status{residency.Declined}, true, Declined},
+		{"too late", []residency.Status{residency.Waiting, residency.TooLate}, true, TooLate},
 		{"no owner", nil, false, Unowned},
 	}
 	for _, test := range tests {
@@ -177,7 +178,7 @@
 				}
 				return test.hasOwner
 			}
-			if got := o.locator.AwaitAdmission(t.Context(), "e", AdmissionRequest{Ticket: 1, Adapter: climb}); got != test.want {
+			if got, _ := o.locator.AwaitAdmission(t.Context(), "e", AdmissionRequest{Ticket: 1, Adapter: climb}); got != test.want {
 				t.Errorf("got %v, want %v", got, test.want)
 			}
 			if len(o.released) != 0 {
--- a/internal/locator/wait.go
+++ b/internal/locator/wait.go
@@ -66,11 +66,13 @@
 	WaitEnded
 	// NoRoom: the engine's rate limit leaves no room for the request in time.
 	NoRoom
+	// TooLate: the request's turn at the engine would come after its deadline.
+	TooLate
 )
 
 // String returns the name of the outcome in logs.
 func (a Admission) String() string {
-	return [...]string{"begin", "declined", "unowned", "over", "no room"}[a]
+	return [...]string{"begin", "declined", "unowned", "over", "no room", "too late"}[a]
 }
 
 // wait is a request that waits for admission.
@@ -81,14 +83,29 @@
 	forBatch bool
 	// tokens is the length of the prompt.
 	tokens int
+	// roomIn is when the engine has room for the request, if it would be too late now.
+	// Locator.mu guards it, as statuses arrive from other goroutines.
+	roomIn time.Duration
 }
 
 // AwaitAdmission requests admission to an engine, and repeats the request until
-// the owner decides, does not answer in time, or ctx ends.
-func (l *Locator) AwaitAdmission(ctx context.Context, engine string, request AdmissionRequest) Admission {
+// the owner decides, does not answer in time, or ctx ends. For TooLate, it also returns when
+// the engine has room for the request.
+func (l *Locator) AwaitAdmission(ctx context.Context, engine string, request AdmissionRequest) (Admission, time.Duration) {
 	request.Version = l.requestVersion(engine, request.Adapter)
 	w := l.startWait(engine, request)
 	defer l.endWait(engine, request.Ticket)
+	admission := l.await(ctx, w, engine, request)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if admission != TooLate {
+		return admission, 0
+	}
+	return admission, max(w.roomIn, minRoomIn)
+}
+
+// await waits for the outcome of a request.
+func (l *Locator) await(ctx context.Context, w *wait, engine string, request AdmissionRequest) Admission {
 	lastAnswerAt := clock.Boot()
 	ticker := time.NewTicker(requestInterval)
 	defer ticker.Stop()
@@ -170,8 +187,11 @@
 		}
 		return Admitted
 	}
-	if status == residency.NoRoom {
+	switch status {
+	case residency.NoRoom:
 		return NoRoom
+	case residency.TooLate:
+		return TooLate
 	}
 	if v != nil {
 		delete(v.held, request.Adapter)
@@ -282,6 +302,7 @@
 	}
 	w := l.waits[key]
 	if w != nil {
+		w.roomIn = status.RoomIn
 		select {
 		case w.statuses <- status.Status:
 		default:
--- a/internal/locator/work_test.go
+++ b/internal/locator/work_test.go
@@ -53,7 +53,7 @@
 		return true
 	}
 	asked := 0
-	got := l.AwaitAdmission(t.Context(), "e", AdmissionRequest{
+	got, _ := l.AwaitAdmission(t.Context(), "e", AdmissionRequest{
 		Ticket: 5, Adapter: climb, ReconsiderAfter: time.Millisecond, MayStay: func() bool { asked++; return asked < 3 },
 	})
 	if got != WaitEnded || asked != 3 || len(tickets) != 1 {
--- a/internal/mesh/packet.go
+++ b/internal/mesh/packet.go
@@ -303,8 +303,8 @@
 	Waiting int `cbor:"4,keyasint,omitempty"`
 	// Incarnation is that of the engine's process, as its owner knows it.
 	Incarnation int64 `cbor:"6,keyasint,omitempty"`
-	// RoomIn is when the engine's rate limit leaves room for another request, in
-	// milliseconds.
+	// RoomIn is when the engine's rate limit leaves room for another request, or the engine
+	// has room for one that would be too late now, in milliseconds.
 	RoomIn int64 `cbor:"5,keyasint,omitempty"`
 	// WaitingWork and PrefillPerToken are those of EngineState.
 	WaitingWork     int64 `cbor:"7,keyasint,omitempty"`
--- a/internal/orders/pool.go
+++ b/internal/orders/pool.go
@@ -71,7 +71,8 @@
 	// Incarnation is that of the engine's process, as its owner knows it.
 	Incarnation int64
 	// RoomIn is when the engine's rate limit leaves room for another request, if
-	// Status is residency.NoRoom.
+	// Status is residency.NoRoom, or when the engine has room for this one, if it is
+	// residency.TooLate.
 	RoomIn time.Duration
 	// WaitingWork and PrefillPerToken are those of EngineState.
 	WaitingWork     time.Duration
--- a/internal/orders/worker.go
+++ b/internal/orders/worker.go
@@ -159,10 +159,10 @@
 
 // statusMessage returns the status of a request as its entry gets it. The caller
 // holds mu.
-func (w *worker) statusMessage(now time.Duration, ticket uint64, status residency.Status) AdmissionStatus {
-	message := AdmissionStatus{Engine: w.upstream.ID, Ticket: ticket, Status: status, Waiting: w.gate.WaitingForBatch(w.status), Incarnation: w.engine.Incarnation()}
+func (w *worker) statusMessage(now time.Duration, ticket uint64, d admission.Decision) AdmissionStatus {
+	message := AdmissionStatus{Engine: w.upstream.ID, Ticket: ticket, Status: d.Status, RoomIn: d.RoomIn, Waiting: w.gate.WaitingForBatch(w.status), Incarnation: w.engine.Incarnation()}
 	message.WaitingWork, message.PrefillPerToken = w.gate.WaitingWork(now, w.status), w.gate.PrefillPerToken()
-	if status == residency.NoRoom {
+	if d.Status == residency.NoRoom {
 		message.RoomIn = w.turnIn(now, 0)
 	}
 	return message
@@ -200,22 +200,22 @@
 
 // tryAdmit queues a request for admission, unless the engine can't take it,
 // admits it at once if possible, and returns its status. The caller holds mu.
-func (w *worker) tryAdmit(now time.Duration, request admission.Request) residency.Status {
+func (w *worker) tryAdmit(now time.Duration, request admission.Request) admission.Decision {
 	if w.gate.Admitted(request.Key) {
-		return residency.Ready
+		return admission.Decision{Status: residency.Ready}
 	}
 	status := w.status(request.Adapter, request.Version)
 	if status == residency.Declined || status == residency.Unreachable {
-		return status
+		return admission.Decision{Status: status}
 	}
 	w.gate.Enqueue(now, request)
 	if status == residency.Waiting {
 		w.engine.RequestLoad(now, request.Adapter, request.Version)
 		w.signal()
-		return status
+		return admission.Decision{Status: status}
 	}
 	own := w.admitWaiting(now, request.Key)
-	if own == residency.Waiting {
+	if own.Status == residency.Waiting {
 		wake(w.wakeAdmissions) // its time may come before that of the others
 	}
 	return own
@@ -278,10 +278,10 @@
 }
 
 // admitWaiting decides on waiting requests and reports each decision to the
-// request's entry, except for the request with callerKey, whose status it returns.
+// request's entry, except for the request with callerKey, whose decision it returns.
 // The caller holds mu; reporting does no blocking I/O.
-func (w *worker) admitWaiting(now time.Duration, callerKey admission.Key) residency.Status {
-	own := residency.Waiting
+func (w *worker) admitWaiting(now time.Duration, callerKey admission.Key) admission.Decision {
+	own := admission.Decision{Status: residency.Waiting}
 	decisions := w.gate.Next(now, w.admissible(now), w.status)
 	for _, d := range decisions {
 		if d.Status == residency.Ready {
@@ -294,10 +294,10 @@
 	}
 	for _, d := range decisions {
 		if d.Key == callerKey {
-			own = d.Status
+			own = d
 			continue
 		}
-		w.pool.config.ReportStatus(d.Key.Entry, w.statusMessage(now, d.Key.Ticket, d.Status))
+		w.pool.config.ReportStatus(d.Key.Entry, w.statusMessage(now, d.Key.Ticket, d))
 	}
 	return own
 }
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -59,6 +59,10 @@
 	passedOn bool
 	triedVMs []string
 	viaVM    bool
+	// tooLateCount counts the engines with no room before the request's deadline, and roomIn
+	// is the shortest time in which one has room.
+	tooLateCount int
+	roomIn       time.Duration
 	// declines counts the engines that could not accept the request.
 	declines int
 	// admissionWait is the time spent waiting for adapter loads and admissions.
--- a/internal/relay/model.go
+++ b/internal/relay/model.go
@@ -29,6 +29,12 @@
 	// unknownWork is the work that is assumed at an engine whose owner has reported none
 	// to this entry: a batch of prompts.
 	unknownWork = 100 * time.Millisecond
+	// maxTooLate is the number of engines without room before a request's deadline after
+	// which it is refused: the second one was chosen as the best of the others.
+	maxTooLate = 2
+	// tooLateSpread is the part of the time until there is room over which the callers of
+	// such requests are spread.
+	tooLateSpread = 0.5
 	// declinedBackoff is the pause before the next choice of an engine after an
 	// engine's owner declined; it doubles up to maxDeclinedBackoff.
 	declinedBackoff    = 30 * time.Millisecond
@@ -88,6 +94,10 @@
 			return
 		}
 		ticket, admitted := e.awaitAdmission(choice)
+		if e.tooLateCount >= maxTooLate {
+			e.giveUp(http.StatusBadGateway, e.roomIn, "no engine has room before the request's deadline")
+			return
+		}
 		if admitted && e.tryEngine(choice.Engine, ticket) {
 			return
 		}
@@ -133,7 +143,7 @@
 	if choice.NeedsLoad {
 		reconsiderAfter = 0
 	}
-	admission := engines.AwaitAdmission(ctx, choice.Engine, locator.AdmissionRequest{
+	admission, roomIn := engines.AwaitAdmission(ctx, choice.Engine, locator.AdmissionRequest{
 		Ticket:         ticket,
 		Adapter:        e.call.Adapter,
 		PromptTokens:   e.call.PromptTokens,
@@ -159,6 +169,9 @@
 	case locator.NoRoom:
 		e.relay.config.Metrics.TurnDeclined(e.service.Name)
 		return 0, false
+	case locator.TooLate:
+		e.recordTooLate(choice.Engine, roomIn)
+		return 0, false
 	case locator.Admitted:
 		return ticket, true
 	case locator.Unowned:
@@ -168,6 +181,17 @@
 	}
 }
 
+// recordTooLate records that an engine has room for the request only after its deadline. The
+// callers of such requests come back one by one, spread by a random number of each.
+func (e *exchange) recordTooLate(engine string, roomIn time.Duration) {
+	roomIn += time.Duration(float64(roomIn) * tooLateSpread * float64(e.random()%1000) / 1000)
+	if e.tooLateCount == 0 || roomIn < e.roomIn {
+		e.roomIn = roomIn
+	}
+	e.tooLateCount++
+	e.tried = append(e.tried, engine)
+}
+
 // admitUnowned reports whether the request may be sent to an engine without an
 // owner. One with a rate limit is left out: nobody keeps the requests of all daemons
 // below it.
--- a/internal/residency/engine.go
+++ b/internal/residency/engine.go
@@ -402,6 +402,9 @@
 	Unreachable
 	// NoRoom: the engine's rate limit leaves no room for the request in time.
 	NoRoom
+	// TooLate: the request's turn would come after its deadline. Only requests of
+	// customers get it: builds that don't know it send none.
+	TooLate
 )
 
 // Status returns the status of an adapter in the version or a newer one.
