--- a/internal/locator/wait.go
+++ b/internal/locator/wait.go
@@ -41,6 +41,14 @@
 	// TurnBy is until when the request waits for its turn at an engine with a rate
 	// limit, as a reading of clock.Boot.
 	TurnBy time.Duration
+	// ReconsiderAfter is the time after which MayStay is asked, again and again, whether
+	// the request goes on waiting; 0 for never.
+	ReconsiderAfter time.Duration
+	MayStay         func() bool
+	// Customer is the xxhash of the customer's name, and Weight its share of capacity
+	// relative to others; 0 without a customer.
+	Customer uint64
+	Weight   float64
 }
 
 // Admission is the outcome of an AdmissionRequest.
@@ -58,11 +66,13 @@
 	WaitEnded
 	// NoRoom: the engine's rate limit leaves no room for the request in time.
 	NoRoom
+	// TooLate: the request's turn at the engine would come after its deadline.
+	TooLate
 )
 
 // String returns the name of the outcome in logs.
 func (a Admission) String() string {
-	return [...]string{"begin", "declined", "unowned", "over", "no room"}[a]
+	return [...]string{"begin", "declined", "unowned", "over", "no room", "too late"}[a]
 }
 
 // wait is a request that waits for admission.
@@ -71,17 +81,40 @@
 	statuses chan residency.Status
 	// forBatch is set if the request waits for room in the engine's batch.
 	forBatch bool
+	// tokens is the length of the prompt.
+	tokens int
+	// roomIn is when the engine has room for the request, if it would be too late now.
+	// Locator.mu guards it, as statuses arrive from other goroutines.
+	roomIn time.Duration
 }
 
 // AwaitAdmission requests admission to an engine, and repeats the request until
-// the owner decides, does not answer in time, or ctx ends.
-func (l *Locator) AwaitAdmission(ctx context.Context, engine string, request AdmissionRequest) Admission {
+// the owner decides, does not answer in time, or ctx ends. For TooLate, it also returns when
+// the engine has room for the request.
+func (l *Locator) AwaitAdmission(ctx context.Context, engine string, request AdmissionRequest) (Admission, time.Duration) {
 	request.Version = l.requestVersion(engine, request.Adapter)
-	w := l.startWait(engine, request.Ticket, !request.NeedsLoad)
+	w := l.startWait(engine, request)
 	defer l.endWait(engine, request.Ticket)
+	admission := l.await(ctx, w, engine, request)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if admission != TooLate {
+		return admission, 0
+	}
+	return admission, max(w.roomIn, minRoomIn)
+}
+
+// await waits for the outcome of a request.
+func (l *Locator) await(ctx context.Context, w *wait, engine string, request AdmissionRequest) Admission {
 	lastAnswerAt := clock.Boot()
 	ticker := time.NewTicker(requestInterval)
 	defer ticker.Stop()
+	var reconsider <-chan time.Time
+	if request.ReconsiderAfter > 0 {
+		ticker := time.NewTicker(request.ReconsiderAfter)
+		defer ticker.Stop()
+		reconsider = ticker.C
+	}
 	for {
 		if !l.config.SendRequest(engine, request) {
 			return l.recordSilentOwner(engine, request, "unknown")
@@ -93,16 +126,20 @@
 				return l.applyDecision(engine, request, status)
 			}
 			// The owner has queued the request; repeat it at the next tick.
-			status, waiting := l.awaitTick(ctx, w, ticker)
+			status, waiting := l.awaitTick(ctx, w, request, ticker.C, reconsider)
 			if !waiting {
-				return WaitEnded
+				return l.withdraw(engine, request)
 			}
 			if status != residency.Waiting {
 				return l.applyDecision(engine, request, status)
 			}
 		case <-ticker.C:
+		case <-reconsider:
+			if !request.MayStay() {
+				return l.withdraw(engine, request)
+			}
 		case <-ctx.Done():
-			return WaitEnded
+			return l.withdraw(engine, request)
 		}
 		if clock.Boot()-lastAnswerAt > answerTimeout {
 			return l.recordSilentOwner(engine, request, "silent")
@@ -110,17 +147,28 @@
 	}
 }
 
+// withdraw tells the owner that a request no longer waits. It would admit it otherwise, and
+// keep others from its place until it learns that the admission is not used.
+func (l *Locator) withdraw(engine string, request AdmissionRequest) Admission {
+	l.config.SendProgress(engine, request.Ticket, orders.AdmissionProgress{Ended: true})
+	return WaitEnded
+}
+
 // awaitTick waits for the next tick or a final status. It returns false if ctx
-// ended first.
-func (l *Locator) awaitTick(ctx context.Context, w *wait, ticker *time.Ticker) (residency.Status, bool) {
+// ended or the request may not stay.
+func (l *Locator) awaitTick(ctx context.Context, w *wait, request AdmissionRequest, tick, reconsider <-chan time.Time) (residency.Status, bool) {
 	for {
 		select {
 		case status := <-w.statuses:
 			if status != residency.Waiting {
 				return status, true
 			}
-		case <-ticker.C:
+		case <-tick:
 			return residency.Waiting, true
+		case <-reconsider:
+			if !request.MayStay() {
+				return residency.Waiting, false
+			}
 		case <-ctx.Done():
 			return residency.Waiting, false
 		}
@@ -139,8 +187,11 @@
 		}
 		return Admitted
 	}
-	if status == residency.NoRoom {
+	switch status {
+	case residency.NoRoom:
 		return NoRoom
+	case residency.TooLate:
+		return TooLate
 	}
 	if v != nil {
 		delete(v.held, request.Adapter)
@@ -179,14 +230,15 @@
 	ticket uint64
 }
 
-func (l *Locator) startWait(engine string, ticket uint64, forBatch bool) *wait {
+func (l *Locator) startWait(engine string, request AdmissionRequest) *wait {
 	const bufferSize = 8
-	w := &wait{statuses: make(chan residency.Status, bufferSize), forBatch: forBatch}
+	w := &wait{statuses: make(chan residency.Status, bufferSize), forBatch: !request.NeedsLoad, tokens: request.PromptTokens}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.waits[waitKey{engine, ticket}] = w
-	if v := l.views[engine]; v != nil && forBatch {
+	l.waits[waitKey{engine, request.Ticket}] = w
+	if v := l.views[engine]; v != nil && w.forBatch {
 		v.waiting++
+		v.waitingTokens += w.tokens
 	}
 	return w
 }
@@ -199,6 +251,7 @@
 	delete(l.waits, key)
 	if v := l.views[engine]; v != nil && w.forBatch {
 		v.waiting--
+		v.waitingTokens -= w.tokens
 	}
 	unused := !l.admitted[key] && hasUnreadAdmission(w)
 	l.mu.Unlock()
@@ -241,8 +294,7 @@
 	key := waitKey{status.Engine, status.Ticket}
 	l.mu.Lock()
 	if v := l.views[status.Engine]; v != nil {
-		v.state.Waiting = status.Waiting
-		v.waitingAtState = v.waiting
+		v.applyStatus(status, l.waits[key])
 		v.ownerIncarnation = max(v.ownerIncarnation, status.Incarnation)
 		if status.Status == residency.NoRoom {
 			v.roomAt = max(v.roomAt, clock.Boot()+max(status.RoomIn, minRoomIn))
@@ -250,6 +302,7 @@
 	}
 	w := l.waits[key]
 	if w != nil {
+		w.roomIn = status.RoomIn
 		select {
 		case w.statuses <- status.Status:
 		default:
--- a/internal/orders/worker.go
+++ b/internal/orders/worker.go
@@ -32,6 +32,9 @@
 // send orders.
 const mayOrderCheckInterval = 100 * time.Millisecond
 
+// maxStepPause is the longest time between two steps: demands for loads expire.
+const maxStepPause = time.Second
+
 // runningCountTTL is how long an entry's count of running requests is used.
 const runningCountTTL = 3 * time.Second
 
@@ -41,11 +44,13 @@
 
 // worker sends orders to one engine.
 type worker struct {
-	pool     *Pool
-	log      *slog.Logger
-	wake     chan struct{}
-	stopped  chan struct{}
-	stopOnce sync.Once
+	pool *Pool
+	log  *slog.Logger
+	wake chan struct{}
+	// wakeAdmissions wakes the goroutine that admits requests whose time has come.
+	wakeAdmissions chan struct{}
+	stopped        chan struct{}
+	stopOnce       sync.Once
 
 	// mu guards the fields below; it is not held during I/O.
 	mu             sync.Mutex
@@ -79,6 +84,7 @@
 		pool:           pool,
 		log:            pool.log.With("engine", a.Engine.ID),
 		wake:           make(chan struct{}, 1),
+		wakeAdmissions: make(chan struct{}, 1),
 		stopped:        make(chan struct{}),
 		upstream:       a.Engine,
 		engine:         residency.NewEngine(a.Spec),
@@ -96,8 +102,14 @@
 }
 
 func (w *worker) signal() {
+	wake(w.wake)
+	wake(w.wakeAdmissions)
+}
+
+// wake wakes a goroutine that waits on a channel with a buffer of one.
+func wake(channel chan struct{}) {
 	select {
-	case w.wake <- struct{}{}:
+	case channel <- struct{}{}:
 	default:
 	}
 }
@@ -147,9 +159,10 @@
 
 // statusMessage returns the status of a request as its entry gets it. The caller
 // holds mu.
-func (w *worker) statusMessage(now time.Duration, ticket uint64, status residency.Status) AdmissionStatus {
-	message := AdmissionStatus{Engine: w.upstream.ID, Ticket: ticket, Status: status, Waiting: w.gate.WaitingForBatch(w.status), Incarnation: w.engine.Incarnation()}
-	if status == residency.NoRoom {
+func (w *worker) statusMessage(now time.Duration, ticket uint64, d admission.Decision) AdmissionStatus {
+	message := AdmissionStatus{Engine: w.upstream.ID, Ticket: ticket, Status: d.Status, RoomIn: d.RoomIn, Waiting: w.gate.WaitingForBatch(w.status), Incarnation: w.engine.Incarnation()}
+	message.WaitingWork, message.PrefillPerToken = w.gate.WaitingWork(now, w.status), w.gate.PrefillPerToken()
+	if d.Status == residency.NoRoom {
 		message.RoomIn = w.turnIn(now, 0)
 	}
 	return message
@@ -187,23 +200,23 @@
 
 // tryAdmit queues a request for admission, unless the engine can't take it,
 // admits it at once if possible, and returns its status. The caller holds mu.
-func (w *worker) tryAdmit(now time.Duration, request admission.Request) residency.Status {
+func (w *worker) tryAdmit(now time.Duration, request admission.Request) admission.Decision {
 	if w.gate.Admitted(request.Key) {
-		return residency.Ready
+		return admission.Decision{Status: residency.Ready}
 	}
 	status := w.status(request.Adapter, request.Version)
 	if status == residency.Declined || status == residency.Unreachable {
-		return status
+		return admission.Decision{Status: status}
 	}
 	w.gate.Enqueue(now, request)
 	if status == residency.Waiting {
 		w.engine.RequestLoad(now, request.Adapter, request.Version)
 		w.signal()
-		return status
+		return admission.Decision{Status: status}
 	}
 	own := w.admitWaiting(now, request.Key)
-	if own == residency.Waiting && w.limiter.Limited() {
-		w.signal() // its turn may come before the next step
+	if own.Status == residency.Waiting {
+		wake(w.wakeAdmissions) // its time may come before that of the others
 	}
 	return own
 }
@@ -231,7 +244,11 @@
 	if progress.Ended {
 		w.engine.RecordEnd(now, key.Entry, key.Ticket)
 	}
-	w.gate.Release(now, key)
+	if progress.Ended || progress.Refused {
+		w.gate.Withdraw(key)
+	} else {
+		w.gate.Release(now, key)
+	}
 	w.admitWaiting(now, admission.Key{})
 	w.signal()
 }
@@ -261,10 +278,10 @@
 }
 
 // admitWaiting decides on waiting requests and reports each decision to the
-// request's entry, except for the request with callerKey, whose status it returns.
+// request's entry, except for the request with callerKey, whose decision it returns.
 // The caller holds mu; reporting does no blocking I/O.
-func (w *worker) admitWaiting(now time.Duration, callerKey admission.Key) residency.Status {
-	own := residency.Waiting
+func (w *worker) admitWaiting(now time.Duration, callerKey admission.Key) admission.Decision {
+	own := admission.Decision{Status: residency.Waiting}
 	decisions := w.gate.Next(now, w.admissible(now), w.status)
 	for _, d := range decisions {
 		if d.Status == residency.Ready {
@@ -277,10 +294,10 @@
 	}
 	for _, d := range decisions {
 		if d.Key == callerKey {
-			own = d.Status
+			own = d
 			continue
 		}
-		w.pool.config.ReportStatus(d.Key.Entry, w.statusMessage(now, d.Key.Ticket, d.Status))
+		w.pool.config.ReportStatus(d.Key.Entry, w.statusMessage(now, d.Key.Ticket, d))
 	}
 	return own
 }
@@ -311,6 +328,7 @@
 		RateLimit:    w.limiter.Known(),
 	}
 	state.Waiting = w.gate.WaitingForBatch(w.status)
+	state.WaitingWork, state.PrefillPerToken = w.gate.WaitingWork(now, w.status), w.gate.PrefillPerToken()
 	for _, r := range w.runningByEntry {
 		if now-r.reportedAt < runningCountTTL {
 			state.Running += r.requests
@@ -337,6 +355,7 @@
 func (w *worker) run(ctx context.Context) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	go w.runAdmissions(ctx)
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	for {
@@ -365,14 +384,13 @@
 			}
 		})
 		w.admitWaiting(now, admission.Key{})
-		admissionDelay := w.nextAdmissionDelay(now)
 		if !allowed {
 			w.mu.Unlock()
-			return min(mayOrderCheckInterval, admissionDelay)
+			return mayOrderCheckInterval
 		}
 		if pause := max(w.retryAt, w.pausedUntil) - now; pause > 0 {
 			w.mu.Unlock()
-			return min(pause, admissionDelay)
+			return min(pause, maxStepPause)
 		}
 		action := w.engine.Next(now)
 		upstream := w.upstream
@@ -384,12 +402,33 @@
 		case action.Order != nil:
 			w.sendOrder(ctx, upstream, *action.Order, token)
 		default:
-			return min(action.Wait, admissionDelay)
+			return min(action.Wait, maxStepPause)
 		}
 	}
 	return mayOrderCheckInterval
 }
 
+// runAdmissions admits requests when their time has come. It is apart from the steps, which
+// may wait for an answer of the engine while prompts could be admitted.
+func (w *worker) runAdmissions(ctx context.Context) {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-w.wakeAdmissions:
+		case <-timer.C:
+		}
+		now := clock.Boot()
+		w.mu.Lock()
+		w.admitWaiting(now, admission.Key{})
+		delay := w.nextAdmissionDelay(now)
+		w.mu.Unlock()
+		timer.Reset(delay)
+	}
+}
+
 // nextAdmissionDelay returns the time until waiting requests may be admitted. The
 // caller holds mu.
 func (w *worker) nextAdmissionDelay(now time.Duration) time.Duration {
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -69,6 +69,10 @@
 	// notFresh is set once the request needed an API key and this VM had no proof that its
 	// configuration is the newest.
 	notFresh bool
+	// tooLateCount counts the engines with no room before the request's deadline, and roomIn
+	// is the shortest time in which one has room.
+	tooLateCount int
+	roomIn       time.Duration
 	// declines counts the engines that could not accept the request.
 	declines int
 	// admissionWait is the time spent waiting for adapter loads and admissions.
