steer: choose engines by the expected time to the first event

The choice compared counts of requests, so a prompt of 50 tokens weighed as much as one of 6,000, slow engines got as many requests as fast ones, and a hot adapter was spread only when three requests waited at its least loaded holder.

Where owners report a pace, engines are now compared by waiting work, the request's own prefill and the load of its adapter, and drawn among near-equals. Without a pace the choice by counts holds exactly.

--- a/internal/steer/doc.go
+++ b/internal/steer/doc.go
@@ -7,4 +7,8 @@
 // recently and reloads it ten times as fast. Popularity may be so skewed that
 // the prompts for one adapter saturate an engine; such an adapter is spread to
 // the next engines in its rendezvous order.
+//
+// Where owners report the pace of their engines, engines are compared by the
+// expected time to the first event (docs/design/request-cost.md), otherwise by
+// counts of requests.
 package steer
--- a/internal/steer/engine.go
+++ b/internal/steer/engine.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"slices"
 	"strconv"
+	"time"
 
 	"github.com/barleylift/barleylift/internal/placement"
 	"github.com/barleylift/barleylift/internal/topology"
@@ -67,6 +68,23 @@
 	Queued int
 	// Suspect is set if requests to the engine have failed recently.
 	Suspect bool
+
+	// PrefillPerToken is the time that the engine takes to prefill a prompt token, as its
+	// owner has learned it; 0 if the owner reports none.
+	PrefillPerToken time.Duration
+	// WaitingWork is the time that the prompts which waited there would take, as its owner
+	// reported it WorkAge ago. Without a report WorkAge is very long.
+	WaitingWork time.Duration
+	WorkAge     time.Duration
+	// OwnWork is the prefill time of the prompts that this entry has sent there since that
+	// report.
+	OwnWork time.Duration
+	// PromptTokens is the number of tokens of the request's prompt that the engine would
+	// still have to prefill.
+	PromptTokens int
+	// HeldLately is set if the engine does not hold the adapter but did lately: it loads
+	// it again without the weight store.
+	HeldLately bool
 }
 
 // Choice is an engine for a request.
@@ -77,6 +95,8 @@
 	// SpreadTo is an engine on which the adapter should also be loaded, for later
 	// requests; empty for none.
 	SpreadTo string
+	// Expected is the expected time to the first event, if the choice was made by it.
+	Expected Expected
 }
 
 // PickEngine chooses the engine for a request for an adapter, or for the base
@@ -88,8 +108,17 @@
 	if len(engines) == 0 {
 		return Choice{}, false
 	}
+	if fleet := newFleetWork(engines); fleet.known {
+		return fleet.pick(adapter, engines, random), true
+	}
+	return pickByCounts(adapter, engines, random), true
+}
+
+// pickByCounts chooses by numbers of requests, as no owner reports the pace of its
+// engine.
+func pickByCounts(adapter topology.Adapter, engines []Engine, random uint64) Choice {
 	if adapter.Name == "" {
-		return Choice{Engine: leastLoaded(engines, random).ID}, true
+		return Choice{Engine: leastLoaded(engines, random).ID}
 	}
 	var holders, olderHolders []Engine
 	for _, e := range engines {
@@ -101,7 +130,7 @@
 		}
 	}
 	if len(holders) == 0 && len(olderHolders) == 0 {
-		return Choice{Engine: loadTarget(adapter, excludeIfPossible(engines, holdsOlder)), NeedsLoad: true}, true
+		return Choice{Engine: loadTarget(adapter, excludeIfPossible(engines, holdsOlder)), NeedsLoad: true}
 	}
 	// A limited engine's turns go to requests for adapters that no other one holds.
 	if others := slices.DeleteFunc(slices.Concat(holders, olderHolders), isRateLimited); len(others) > 0 {
@@ -114,7 +143,7 @@
 	} else {
 		choice.SpreadTo = spreadTarget(adapter, engines, best, len(holders)+len(olderHolders), random)
 	}
-	return choice, true
+	return choice
 }
 
 // leastLoadedHolder returns the least loaded holder of the version in force, or
