locator, relay: choose engines with the request's estimate

The relay estimates each request, learns its output, logs the estimate of a choice once a request and compares it with the time to the first event (first_event_estimate_ratio).

--- a/internal/locator/locator.go
+++ b/internal/locator/locator.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/barleylift/barleylift/internal/clock"
+	"github.com/barleylift/barleylift/internal/cost"
 	"github.com/barleylift/barleylift/internal/fragility"
 	"github.com/barleylift/barleylift/internal/orders"
 	"github.com/barleylift/barleylift/internal/ratelimit"
@@ -158,6 +159,9 @@
 	SoftwareVersion string
 	// Random is a number of the request.
 	Random uint64
+	// PromptTokens is the length of the prompt, and Links identify its parts.
+	PromptTokens int
+	Links        []cost.Link
 }
 
 // Engines returns the engines for a request, without those that are leaving, pause,
@@ -175,7 +179,7 @@
 			continue
 		}
 		version, held := v.held[adapter]
-		engines = append(engines, steer.Engine{
+		engine := steer.Engine{
 			ID:               id,
 			Running:          v.estimateRunning(now),
 			Slots:            v.upstream.Slots,
@@ -187,7 +191,9 @@
 			PendingLoads:     v.state.PendingLoads,
 			Queued:           v.estimateWaiting(now),
 			Suspect:          v.failures.get(now) >= suspectThreshold,
-		})
+		}
+		v.addWork(now, &engine, need)
+		engines = append(engines, engine)
 	}
 	return engines
 }
@@ -250,6 +256,15 @@
 	}
 }
 
+// RecordPrompt records that a request with these prompt parts is sent to an engine.
+func (l *Locator) RecordPrompt(engine string, links []cost.Link) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if v := l.views[engine]; v != nil {
+		v.prompts.RecordSent(clock.Boot(), links)
+	}
+}
+
 // EndRequest records that a request to an upstream has ended.
 func (l *Locator) EndRequest(upstream string, adapter topology.Adapter, admitted bool) {
 	l.mu.Lock()
--- a/internal/locator/view.go
+++ b/internal/locator/view.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/barleylift/barleylift/internal/cost"
 	"github.com/barleylift/barleylift/internal/orders"
 	"github.com/barleylift/barleylift/internal/ratelimit"
 	"github.com/barleylift/barleylift/internal/residency"
@@ -36,6 +37,15 @@
 	state           orders.EngineState
 	stateReceivedAt time.Duration
 	hasState        bool
+	// workAt is when the owner last reported the waiting work, with its state or with the
+	// status of a request; 0 if it has not. prefillPerToken is the pace that it reported
+	// then, which is kept when the report is old; 0 if it reports none.
+	workAt          time.Duration
+	prefillPerToken time.Duration
+	// prompts remembers what was sent there lately, and lately the adapters that the engine
+	// has ceased to hold, of the current process.
+	prompts cost.Prompts
+	lately  heldLately
 	// running is the number of this entry's requests there, and runningAtState
 	// what it was when the owner's last state arrived.
 	running        int
@@ -113,6 +123,8 @@
 	v.pause.beginProcess(upstream.Incarnation)
 	if restarted {
 		v.hasState = false
+		v.workAt, v.prefillPerToken = 0, 0
+		v.prompts, v.lately = cost.Prompts{}, heldLately{}
 		v.rateLimit, v.limitEndedAt, v.roomAt = ratelimit.Knowledge{}, 0, 0
 	}
 	if restarted || !v.hasState || now-v.stateReceivedAt > stateTTL {
@@ -133,6 +145,8 @@
 	v.hasState = true
 	v.runningAtState = v.running
 	v.waitingAtState, v.waitingTokensAtState = v.waiting, v.waitingTokens
+	v.workAt, v.prefillPerToken = now, state.PrefillPerToken
+	v.lately.update(v.held, state.Held)
 	v.held = make(map[topology.Adapter]int64, len(state.Held))
 	for _, held := range state.Held {
 		v.held[held.Adapter] = held.Version
@@ -159,27 +173,20 @@
 // applyStatus records the queue at the engine, which the owner reports with the status of
 // a request; w is nil if that no longer waits. The work includes the prompt of an admitted
 // request.
-func (v *view) applyStatus(status orders.AdmissionStatus, w *wait) {
+func (v *view) applyStatus(now time.Duration, status orders.AdmissionStatus, w *wait) {
 	v.state.Waiting = status.Waiting
-	v.state.WaitingWork, v.state.PrefillPerToken = status.WaitingWork, status.PrefillPerToken
+	if status.PrefillPerToken > 0 {
+		// Otherwise the owner is of an earlier build, which its next state shows, or the
+		// daemon that declined is no longer the owner and knows no work.
+		v.state.WaitingWork, v.state.PrefillPerToken = status.WaitingWork, status.PrefillPerToken
+		v.workAt, v.prefillPerToken = now, status.PrefillPerToken
+	}
 	v.waitingAtState, v.waitingTokensAtState = v.waiting, v.waitingTokens
 	if w != nil && w.forBatch && status.Status == residency.Ready {
 		v.waitingTokensAtState -= w.tokens
 	}
 }
 
-// estimateWaitingWork estimates the time that the engine needs for the prompts that it has
-// yet to prefill, and the time to prefill one token. It returns false if its owner has
-// reported no such times lately, for example because it is of an earlier build.
-func (v *view) estimateWaitingWork(now time.Duration) (work, perToken time.Duration, ok bool) {
-	if !v.hasState || now-v.stateReceivedAt > stateTTL || v.state.PrefillPerToken <= 0 {
-		return 0, 0, false
-	}
-	since := time.Duration(v.waitingTokens-v.waitingTokensAtState) * v.state.PrefillPerToken
-	own := time.Duration(v.waitingTokens) * v.state.PrefillPerToken
-	return max(v.state.WaitingWork+since, own), v.state.PrefillPerToken, true
-}
-
 // holdsModel reports whether the engine holds the base model: according to the
 // registration, which lags, or because it holds adapters of the model.
 func (v *view) holdsModel(model string) bool {
--- a/internal/locator/wait.go
+++ b/internal/locator/wait.go
@@ -249,7 +249,7 @@
 	key := waitKey{status.Engine, status.Ticket}
 	l.mu.Lock()
 	if v := l.views[status.Engine]; v != nil {
-		v.applyStatus(status, l.waits[key])
+		v.applyStatus(clock.Boot(), status, l.waits[key])
 		v.ownerIncarnation = max(v.ownerIncarnation, status.Incarnation)
 		if status.Status == residency.NoRoom {
 			v.roomAt = max(v.roomAt, clock.Boot()+max(status.RoomIn, minRoomIn))
--- a/internal/metrics/gateway.go
+++ b/internal/metrics/gateway.go
@@ -13,6 +13,7 @@
 	requests      *prometheus.CounterVec
 	duration      *prometheus.HistogramVec
 	firstEvent    *prometheus.HistogramVec
+	estimateRatio *prometheus.HistogramVec
 	loadWait      *prometheus.HistogramVec
 	repeatedSends *prometheus.CounterVec
 	refusals      *prometheus.CounterVec
@@ -40,6 +41,7 @@
 		requests:      counter("requests_total", "Requests by route and outcome.", "route", "outcome"),
 		duration:      histogram("request_seconds", "Time from the arrival of a request to the end of its answer.", latencyBuckets, "route"),
 		firstEvent:    histogram("first_event_seconds", "Time from the arrival of a request to the first event of its answer.", latencyBuckets, "route"),
+		estimateRatio: histogram("first_event_estimate_ratio", "Time from the choice of an engine to the first event over the expected time.", estimateBuckets, "route"),
 		loadWait:      histogram("adapter_wait_seconds", "Time that a request waited for its adapter at one engine.", latencyBuckets, "route"),
 		repeatedSends: counter("repeated_sends_total", "Sends beyond the first one of a request, by service.", "service", "kind"),
 		refusals:      counter("upstream_refusals_total", "Upstreams' responses that a request has not run, by service and whether they name the request.", "service", "identified"),
@@ -66,7 +68,7 @@
 			Namespace: namespace, Name: "routing_version", Help: "Configuration version in force.",
 		}),
 	}
-	registerer.MustRegister(g.requests, g.duration, g.firstEvent, g.loadWait, g.repeatedSends, g.refusals, g.skipped, g.turnsDeclined, g.takenUp, g.statements, g.engineCrashes, g.withheld, g.blockedCauses, g.passedOn, g.cutOff, g.engineOrders, g.engineReports, g.kvCalls, g.meshBytes, g.checkpoints, g.version, g.storeEra)
+	registerer.MustRegister(g.requests, g.duration, g.firstEvent, g.estimateRatio, g.loadWait, g.repeatedSends, g.refusals, g.skipped, g.turnsDeclined, g.takenUp, g.statements, g.engineCrashes, g.withheld, g.blockedCauses, g.passedOn, g.cutOff, g.engineOrders, g.engineReports, g.kvCalls, g.meshBytes, g.checkpoints, g.version, g.storeEra)
 	return g
 }
 
@@ -82,6 +84,11 @@
 	g.firstEvent.WithLabelValues(route).Observe(took.Seconds())
 }
 
+// FirstEventEstimate records how the time to a first event compares with the expected one.
+func (g *Gateway) FirstEventEstimate(route string, expected, seen time.Duration) {
+	g.estimateRatio.WithLabelValues(route).Observe(float64(seen) / float64(max(expected, 1)))
+}
+
 // LoadWait records the time that a request waited for its adapter.
 func (g *Gateway) LoadWait(route string, took time.Duration) {
 	g.loadWait.WithLabelValues(route).Observe(took.Seconds())
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -17,6 +17,9 @@
 // ratioBuckets divide the range from 0 to 1 into tenths.
 var ratioBuckets = prometheus.LinearBuckets(0.1, 0.1, 10)
 
+// estimateBuckets are the ratios of a seen to an expected value, from 1/16 to 16.
+var estimateBuckets = prometheus.ExponentialBuckets(1.0/16, 2, 9)
+
 // sizeBuckets are from 1 to 1024 items.
 var sizeBuckets = prometheus.ExponentialBuckets(1, 2, 11)
 
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -61,6 +61,8 @@
 	viaVM    bool
 	// declines counts the engines that could not accept the request.
 	declines int
+	// expected is what was expected of the request when its engine was chosen.
+	expected expectation
 	// admissionWait is the time spent waiting for adapter loads and admissions.
 	admissionWait time.Duration
 	// headSent is set once the head of a response was sent to the caller.
@@ -125,6 +127,7 @@
 // response is incomplete.
 func (e *exchange) finish() {
 	e.cancel()
+	e.learnCost()
 	took := time.Since(e.arrivedAt)
 	e.relay.config.Metrics.RequestEnded(e.route.Name, e.outcome, took)
 	if e.call.LastEventID != "" {
--- a/internal/relay/model.go
+++ b/internal/relay/model.go
@@ -55,6 +55,7 @@
 // serveModel sends the request to engines until one has responded or the
 // request has ended.
 func (e *exchange) serveModel() {
+	e.estimateCost()
 	for !e.endIfExpired() {
 		if handled, ended := e.passOn(); ended {
 			return
@@ -94,21 +95,6 @@
 	return "no engine can take the request"
 }
 
-// pickEngine selects an engine. Once all engines were tried, it waits and
-// considers all of them again.
-func (e *exchange) pickEngine() (steer.Choice, bool) {
-	engines := e.relay.config.Locator.Engines(e.need(), e.tried)
-	if len(engines) == 0 && len(e.tried) > 0 {
-		if !clock.Sleep(e.ctx, declinedBackoff) {
-			return steer.Choice{}, false
-		}
-		e.tried = nil
-		engines = e.relay.config.Locator.Engines(e.need(), nil)
-	}
-	e.onlyEngine = len(engines) == 1
-	return steer.PickEngine(e.call.Adapter, engines, e.random())
-}
-
 // awaitAdmission waits until the request is admitted at the selected engine,
 // with its adapter loaded. The ticket is 0 if the engine has no owner that
 // grants admissions.
@@ -232,6 +218,7 @@
 	}
 	e.upstreamID = id
 	engines.BeginRequest(id, e.call.Adapter, ticket != 0)
+	engines.RecordPrompt(id, e.expected.links)
 	defer engines.EndRequest(id, e.call.Adapter, ticket != 0)
 	ctx, end := e.beginSend(e.ctx)
 	defer end()
--- a/internal/relay/origin.go
+++ b/internal/relay/origin.go
@@ -64,7 +64,8 @@
 
 // need returns what the request needs of an engine.
 func (e *exchange) need() locator.Need {
-	need := locator.Need{Service: e.service.Name, Adapter: e.call.Adapter, Random: e.random()}
+	need := locator.Need{Service: e.service.Name, Adapter: e.call.Adapter, Random: e.random(),
+		PromptTokens: e.expected.cost.PromptTokens, Links: e.expected.links}
 	if e.lastEventID != "" {
 		need.SoftwareVersion = e.softwareVersion
 	}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -27,6 +27,9 @@
 type Metrics interface {
 	RequestEnded(route, outcome string, took time.Duration)
 	FirstEvent(route string, took time.Duration)
+	// FirstEventEstimate compares the time from the choice of an engine to the first event
+	// with the one that was expected.
+	FirstEventEstimate(route string, expected, seen time.Duration)
 	LoadWait(route string, took time.Duration)
 	RepeatedSend(service, reason string)
 	// Refusal counts an upstream's response that the request has not run, and
@@ -113,6 +116,7 @@
 	sending    atomic.Int64
 	passedOn   atomic.Int64
 	beginnings beginnings
+	estimates  estimates
 }
 
 // New returns a Relay without a routing table.
@@ -120,7 +124,7 @@
 	if config.Protocol == nil || config.Locator == nil || config.Pools == nil || config.Budget == nil || config.Metrics == nil || config.Origins == nil || config.Quarantine == nil || config.Peers == nil || config.Observe == nil || config.Log == nil {
 		return nil, errors.New("relay: a dependency is missing")
 	}
-	return &Relay{config: config, log: config.Log.With("part", "relay")}, nil
+	return &Relay{config: config, log: config.Log.With("part", "relay"), estimates: newEstimates()}, nil
 }
 
 // SetTable puts a table in force for requests that arrive from now on. It
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -59,6 +59,7 @@
 	if e.events == 0 {
 		e.timeToFirstEvent = now.Sub(e.arrivedAt)
 		e.relay.config.Metrics.FirstEvent(e.route.Name, e.timeToFirstEvent)
+		e.compareFirstEvent(now)
 	} else {
 		e.maxEventGap = max(e.maxEventGap, now.Sub(e.lastEventAt))
 	}
--- a/internal/relay/types.go
+++ b/internal/relay/types.go
@@ -29,6 +29,10 @@
 	MaxOutputTokens int
 	// PromptParts lists the parts of the prompt in order, as stated by the caller.
 	PromptParts []topology.PromptPart
+	// PartTokens holds the number of tokens of each of PromptParts; 0 if not stated.
+	PartTokens []int
+	// LengthHint is the number of output tokens that the caller expects; 0 if not stated.
+	LengthHint int
 	// LastEventID identifies the last event that the caller received of a stream;
 	// empty to start the stream from its beginning.
 	LastEventID string
--- a/internal/steer/expected.go
+++ b/internal/steer/expected.go
@@ -40,8 +40,10 @@
 	// Wait is the time that the engine needs for what it has to do before, Load that of the
 	// adapter's load, and Prefill that of the request's own prompt up to its first event.
 	Wait, Load, Prefill time.Duration
-	// Age is the age of the owner's report.
-	Age time.Duration
+	// PromptTokens is the number of prompt tokens behind Prefill, and Age that of the
+	// owner's report.
+	PromptTokens int
+	Age          time.Duration
 }
 
 // Total returns the time to the first event.
@@ -114,7 +116,7 @@
 // expected returns the expected time to a request's first event at an engine.
 func (f fleetWork) expected(e Engine, needsLoad bool) Expected {
 	pace := f.paceOf(e)
-	x := Expected{Wait: f.wait(e), Prefill: time.Duration(e.PromptTokens+firstEventSteps*stepTokens) * pace, Age: e.WorkAge}
+	x := Expected{Wait: f.wait(e), Prefill: time.Duration(e.PromptTokens+firstEventSteps*stepTokens) * pace, PromptTokens: e.PromptTokens, Age: e.WorkAge}
 	if needsLoad {
 		x.Load = f.load(e)
 	}
