steer, locator: replicas by their time of work, apart from waiting

The moving average of response times mixed work and waiting and never decayed: a replica that had stalled once was hardly used again, and a slow one was told from a busy one late.

The time of work now follows fast responses at once and slow ones over seconds, the wait halves in 300 ms, and a replica that owes responses counts as waiting, so a stall shows within a second. Full and failing replicas come last.

--- a/internal/locator/locator.go
+++ b/internal/locator/locator.go
@@ -216,13 +216,14 @@
 		}
 		failures := v.failures.get(now)
 		replicas = append(replicas, steer.Replica{
-			ID:             id,
-			Running:        v.running,
-			Slots:          v.upstream.Slots,
-			SameZone:       v.upstream.Zone == l.config.Zone,
-			FailureRate:    failures / (failures + 1),
-			LatencySeconds: v.latency.Seconds(),
-			TieBreaker:     xxhash.Sum64String(l.config.Name + id),
+			ID:          id,
+			Running:     v.running,
+			Slots:       v.upstream.Slots,
+			SameZone:    v.upstream.Zone == l.config.Zone,
+			FailureRate: failures / (failures + 1),
+			WorkSeconds: v.pace.workAt(now).Seconds(),
+			WaitSeconds: v.expectedWait(now).Seconds(),
+			TieBreaker:  xxhash.Sum64String(l.config.Name+id) ^ random,
 		})
 	}
 	return replicas
@@ -248,6 +249,9 @@
 	if v == nil {
 		return
 	}
+	if v.running == 0 {
+		v.progressAt = clock.Boot()
+	}
 	v.running++
 	if adapter.Name != "" {
 		u := v.useOf(adapter)
@@ -274,6 +278,7 @@
 		return
 	}
 	v.running--
+	v.progressAt = clock.Boot()
 	if adapter.Name != "" {
 		v.useOf(adapter).add(admitted, -1)
 	}
@@ -290,8 +295,7 @@
 	}
 	v.failures.add(clock.Boot(), -successCredit)
 	if took > 0 {
-		const weight = 0.1
-		v.latency += time.Duration(weight * float64(took-v.latency))
+		v.pace.record(clock.Boot(), took)
 	}
 }
 
--- a/internal/locator/view.go
+++ b/internal/locator/view.go
@@ -78,7 +78,10 @@
 	// roomAt is when the upstream's rate limit leaves room for another request.
 	roomAt   time.Duration
 	failures decayingCount
-	latency  time.Duration
+	// pace is that of a replica, and progressAt when the last of this entry's requests ended
+	// there, or the first of those that run began.
+	pace       pace
+	progressAt time.Duration
 }
 
 // use is an adapter's use since the last heartbeat to the owner.
@@ -126,6 +129,7 @@
 		v.workAt, v.prefillPerToken = 0, 0
 		v.prompts, v.lately = cost.Prompts{}, heldLately{}
 		v.rateLimit, v.limitEndedAt, v.roomAt = ratelimit.Knowledge{}, 0, 0
+		v.pace = pace{}
 	}
 	if restarted || !v.hasState || now-v.stateReceivedAt > stateTTL {
 		v.setHeldFromRegistration()
--- a/internal/steer/steer_test.go
+++ b/internal/steer/steer_test.go
@@ -220,7 +220,12 @@
 		{"the least loaded", []Replica{{ID: "a", Running: 3}, {ID: "b", Running: 1}}, "b"},
 		{"of equals the one in the same zone", []Replica{{ID: "a", Running: 1}, {ID: "b", Running: 1, SameZone: true}}, "b"},
 		{"not the one that fails", []Replica{{ID: "a", SameZone: true, FailureRate: 0.9}, {ID: "b", Running: 5}}, "b"},
-		{"not the slow one", []Replica{{ID: "a", SameZone: true, LatencySeconds: 0.6}, {ID: "b", Running: 1, LatencySeconds: 0.06}}, "b"},
+		{"not a full one, however fast", []Replica{{ID: "a", SameZone: true, Running: 2, Slots: 2, WorkSeconds: 0.02}, {ID: "b", Running: 1, Slots: 2, WorkSeconds: 0.3}}, "b"},
+		{"of full ones the least loaded", []Replica{{ID: "a", Running: 3, Slots: 2}, {ID: "b", Running: 2, Slots: 2}}, "b"},
+		{"a full one rather than one that fails", []Replica{{ID: "a", Running: 2, Slots: 2}, {ID: "b", Slots: 2, FailureRate: 0.9}}, "a"},
+		{"not the one where requests wait", []Replica{{ID: "a", SameZone: true, WorkSeconds: 0.06, WaitSeconds: 0.5}, {ID: "b", Running: 2, WorkSeconds: 0.06}}, "b"},
+		{"of nearly equal ones the request's", []Replica{{ID: "a", WorkSeconds: 0.06, TieBreaker: 2}, {ID: "b", WorkSeconds: 0.064, TieBreaker: 1}}, "b"},
+		{"not the slow one", []Replica{{ID: "a", SameZone: true, WorkSeconds: 0.6}, {ID: "b", Running: 1, WorkSeconds: 0.06}}, "b"},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
