--- a/internal/steer/engine_load_test.go
+++ b/internal/steer/engine_load_test.go
@@ -28,6 +28,11 @@
 	if joined && now < playJoinAt+playReportPeriod {
 		s = playedState{held: s.held}
 	}
+	own := f.own[vm][i]
+	unreported := f.load.partial && (len(own) == 0 || own[len(own)-1].at < seen-playUserTTL)
+	if unreported {
+		s = playedState{held: s.held, perToken: s.perToken}
+	}
 	view := Engine{ID: e.id, Slots: e.slots, Holds: slices.Contains(s.held, r.adapter), PendingLoads: s.loads, Running: s.running, Queued: s.queued, WorkAge: time.Hour}
 	if s.hasPace {
 		view.PrefillPerToken, view.WaitingWork, view.WorkAge = s.perToken, s.work, now-seen-delay+playReportDelay
@@ -35,9 +40,12 @@
 	if a := f.asked[vm][i]; a.hasPace && a.workAt > seen {
 		view.Queued, view.WaitingWork, view.WorkAge, seen = a.queued, a.work, now-a.workAt, a.workAt
 	}
+	if unreported && len(own) > 0 {
+		view.PrefillPerToken = s.perToken // known from the last answer
+	}
 	view.HeldLately = !view.Holds && slices.Contains(s.recent, r.adapter)
 	view.PromptTokens = r.prompt
-	for _, sent := range f.own[vm][i] {
+	for _, sent := range own {
 		if sent.at > seen {
 			view.Running++
 			view.OwnWork += time.Duration(sent.tokens) * cmp.Or(view.PrefillPerToken, 50*time.Microsecond)
@@ -193,6 +201,8 @@
 	{name: "burst of 2.5", rate: 1, burst: 2.5},
 	{name: "base model, busy", rate: 2, plain: true},
 	{name: "stale reports", rate: 1.5, stale: time.Second},
+	{name: "reports of engines used lately", rate: 1, partial: true},
+	{name: "busy, reports of engines used lately", rate: 1.7, partial: true},
 	{name: "VMs join", rate: 1.5, joins: 28},
 	{name: "engines restart", rate: 1, restarts: 9},
 }
--- a/internal/steer/engine_model_test.go
+++ b/internal/steer/engine_model_test.go
@@ -22,6 +22,7 @@
 	playStall                            = 100 * time.Millisecond
 	playReportPeriod, playReportDelay    = 1300 * time.Millisecond, 300 * time.Millisecond
 	playLoadCheck                        = 5 * time.Millisecond
+	playUserTTL                          = 3 * time.Second
 	playHistory                          = 100 * time.Millisecond
 	playWarmUp, playMeasured, playJoinAt = 1 * time.Second, 4 * time.Second, 2 * time.Second
 )
--- a/internal/steer/fleet_model_test.go
+++ b/internal/steer/fleet_model_test.go
@@ -17,6 +17,8 @@
 	name string
 	// rate is relative to the usual one; the burst multiplies it in the middle.
 	rate, burst float64
+	// partial is set if owners report only to VMs that have sent to the engine within 3 s.
+	partial bool
 	// joins is the number of VMs that join in the middle, and restarts that of engines
 	// that lose everything then.
 	joins, restarts int
@@ -56,7 +58,6 @@
 type fleet struct {
 	load    playedLoad
 	engines []*playedEngine
-	homes   map[int][]int
 	fetches int
 	// own holds, by VM and engine, the sends of the VM, and asked the waiting work that
 	// the owner named in its last answer.
