--- a/internal/steer/by_time.go
+++ b/internal/steer/by_time.go
@@ -9,12 +9,17 @@
 
 // Constants of the choice by expected time.
 const (
-	// minSpreadWait is the mean wait at the holders of an adapter from which on it is spread:
-	// about one prompt. In the played loads bursts are served worse with 110 ms or more.
-	minSpreadWait = 80 * time.Millisecond
+	// minSpreadWait is the mean wait at the holders of an adapter from which on it is spread,
+	// half of a mean prompt: with 80 ms bursts and adapters that get hot are served worse in the
+	// played loads.
+	minSpreadWait = 30 * time.Millisecond
 	// minSpreadTimeGain is how much shorter the wait must be at another engine to make loading
 	// the adapter there worthwhile.
-	minSpreadTimeGain = 100 * time.Millisecond
+	minSpreadTimeGain = 30 * time.Millisecond
+	// maxSpreadFactor is the number of engines to which an adapter is spread at a time, in
+	// numbers of its holders. Reports show new holders only after a second; with 1 an adapter
+	// that gets hot has too few for several seconds.
+	maxSpreadFactor = 3
 	// maxHomeDetour is how much longer the first event may take at an adapter's home than
 	// at the next engine before a cold adapter is loaded at the next one.
 	maxHomeDetour = 300 * time.Millisecond
@@ -108,8 +113,8 @@
 }
 
 // spreadTarget returns the engine on which a hot adapter should also be loaded, or "" for
-// none; wait is the mean wait at its holders. The adapter is spread to at most as many
-// engines at a time as hold it.
+// none; wait is the mean wait at its holders. The adapter is spread to at most
+// maxSpreadFactor times as many engines at a time as hold it.
 func (f fleetWork) spreadTarget(adapter topology.Adapter, engines []Engine, wait time.Duration, holders int, random uint64) string {
 	if wait < minSpreadWait {
 		return ""
@@ -120,7 +125,7 @@
 			available = append(available, e)
 		}
 	}
-	n := min(int(wait/minSpreadWait), holders)
+	n := min(int(wait/minSpreadWait), maxSpreadFactor*holders)
 	candidates := rendezvousOrder(adapter, available, n)
 	if len(candidates) == 0 {
 		return ""
