--- a/internal/admission/gate.go
+++ b/internal/admission/gate.go
@@ -12,27 +12,12 @@
 
 // Constants of the admissions at one engine.
 const (
-	// prefillPauseShare is the share of the pause objective that prompts admitted
-	// together may take to prefill; the rest is left to the steps between them.
-	prefillPauseShare = 0.6
-	// defaultPauseObjective applies to routes without a pause objective.
-	defaultPauseObjective = 300 * time.Millisecond
-	// admissionGap is the time between the end of some prefills and the next
-	// admissions: two steps of about 9 ms, so that an event of three tokens is
-	// delayed by prefills only once.
-	admissionGap = 20 * time.Millisecond
-	// initialPrefillPerToken is the assumed prefill time per prompt token until it
-	// has been measured.
-	initialPrefillPerToken = 55 * time.Microsecond
-	// minPrefillPerToken and maxPrefillPerToken bound the measured values.
-	minPrefillPerToken = 10 * time.Microsecond
-	maxPrefillPerToken = time.Millisecond
-	// firstEventOverhead is the part of the time to the first event that is not
-	// prefill: some steps and the message latency.
-	firstEventOverhead = 30 * time.Millisecond
-	// lostAdmissionGrace is added to twice the expected prefill time; after that
-	// an admission without a report of its end is released.
-	lostAdmissionGrace = 250 * time.Millisecond
+	// lostAdmissionGrace is added to the overhead and twice the expected prefill time;
+	// after that an admission without a report of its end is released.
+	lostAdmissionGrace = 220 * time.Millisecond
+	// maxPromptTokens bounds the prompt lengths that entries state, so that sums of
+	// prefill times don't overflow.
+	maxPromptTokens = 1 << 20
 	// requestExpiry is how long a request stays queued unless its entry repeats it.
 	requestExpiry = 600 * time.Millisecond
 	// priorityDelay is how much later the first event of a request may be for
@@ -84,25 +69,31 @@
 type prefill struct {
 	adapter    topology.Adapter
 	tokens     int
+	work       time.Duration
 	admittedAt time.Duration
-	// alone is set if no other prompt has been prefilled at the same time.
-	alone bool
+	// dueAt is when its first event is expected.
+	dueAt time.Duration
+	// sharedTokens is an upper bound of the tokens of other prompts that the engine
+	// prefilled between the admission and the first event.
+	sharedTokens int
 }
 
 // Gate admits requests to one engine. It is not safe for concurrent use.
 type Gate struct {
-	waiting         map[Key]*waiter
-	prefills        map[Key]prefill
-	prefillPerToken time.Duration
-	// lastEndedAt is when the last prefill ended; 0 if none has.
-	lastEndedAt time.Duration
+	waiting  map[Key]*waiter
+	prefills map[Key]prefill
+	pacer    pacer
+	// fair orders requests while any that waits has a customer.
+	fair fairOrder
+	// reportedAt is when the last first event was reported.
+	reportedAt time.Duration
 	// admittedCount counts admissions, for the share of late requests.
 	admittedCount int
 }
 
 // NewGate returns a gate without requests.
 func NewGate() *Gate {
-	return &Gate{waiting: make(map[Key]*waiter), prefills: make(map[Key]prefill), prefillPerToken: initialPrefillPerToken}
+	return &Gate{waiting: make(map[Key]*waiter), prefills: make(map[Key]prefill), pacer: newPacer()}
 }
 
 // Enqueue adds a request or renews one that still waits. It ignores a request
@@ -111,12 +102,18 @@
 	if _, admitted := g.prefills[r.Key]; admitted {
 		return
 	}
+	r.PromptTokens = min(max(r.PromptTokens, 0), maxPromptTokens)
+	r.Weight = boundedWeight(r.Weight)
 	w := g.waiting[r.Key]
-	if w == nil {
+	isNew := w == nil
+	if isNew {
 		w = &waiter{}
 		g.waiting[r.Key] = w
 	}
 	w.Request = r
+	if isNew {
+		g.fair.arrive(now, w)
+	}
 	w.lastRequestedAt = now
 }
 
@@ -134,8 +131,8 @@
 	return p.adapter, ok
 }
 
-// Release ends a request's admission, because its first event has arrived or it
-// has ended. It removes a request that still waits.
+// Release ends a request's admission, because its first event has arrived. It removes a
+// request that still waits.
 func (g *Gate) Release(now time.Duration, key Key) {
 	p, ok := g.prefills[key]
 	if !ok {
@@ -143,103 +140,45 @@
 		return
 	}
 	delete(g.prefills, key)
-	g.lastEndedAt = now
-	if p.alone && p.tokens > 0 {
-		g.updatePrefillPerToken(now-p.admittedAt, p.tokens)
-	}
-}
-
-func (g *Gate) updatePrefillPerToken(took time.Duration, tokens int) {
-	const weight = 0.1
-	sample := max(took-firstEventOverhead, 0) / time.Duration(tokens)
-	sample = min(max(sample, minPrefillPerToken), maxPrefillPerToken)
-	g.prefillPerToken += time.Duration(weight * float64(sample-g.prefillPerToken))
-}
-
-// WaitingForBatch returns the number of requests that wait for room in the
-// engine's batch. Those that wait for their adapter's load are not counted: they
-// don't delay requests for adapters that the engine holds.
-func (g *Gate) WaitingForBatch(status func(topology.Adapter, int64) residency.Status) int {
-	return g.countWaiting(status, residency.Ready)
+	g.pacer.end(p.work)
+	g.reportedAt = now
+	g.learn(p, now-p.admittedAt)
+	g.pacer.reported(now, p.dueAt)
 }
 
-// WaitingForLoad returns the number of requests that wait for their adapter's load.
-func (g *Gate) WaitingForLoad(status func(topology.Adapter, int64) residency.Status) int {
-	return g.countWaiting(status, residency.Waiting)
-}
-
-// WaitingWork returns the time that the engine needs for the prompts that it has yet to
-// prefill: those that were admitted and those that wait for room in its batch.
-func (g *Gate) WaitingWork(now time.Duration, status func(topology.Adapter, int64) residency.Status) time.Duration {
-	work := time.Duration(0)
-	for _, p := range g.prefills {
-		work += g.prefillTime(p.tokens)
-	}
-	for _, w := range g.waiting {
-		if status(w.Adapter, w.Version) == residency.Ready {
-			work += g.prefillTime(w.PromptTokens)
-		}
+// learn updates the model by the time from an admission to the first event. If other prompts
+// were prefilled meanwhile, the time tells something only if it is out of the range that
+// these leave open.
+func (g *Gate) learn(p prefill, took time.Duration) {
+	model := &g.pacer.model
+	shortest := model.Overhead() + model.Prefill(p.tokens)
+	longest := shortest + model.Prefill(p.sharedTokens)
+	switch {
+	case p.sharedTokens == 0 || took < shortest:
+		model.Observe(p.tokens, took)
+	case took > longest:
+		model.Observe(p.tokens+p.sharedTokens, took)
 	}
-	return work
-}
-
-// PrefillPerToken returns the learned time to prefill one token of a prompt.
-func (g *Gate) PrefillPerToken() time.Duration {
-	return g.prefillPerToken
 }
 
-// countWaiting returns the number of waiting requests whose adapter has a status.
-func (g *Gate) countWaiting(status func(topology.Adapter, int64) residency.Status, want residency.Status) int {
-	n := 0
-	for _, w := range g.waiting {
-		if status(w.Adapter, w.Version) == want {
-			n++
-		}
+// Withdraw ends a request that waits, or is admitted and has ended, perhaps without a first
+// event: then the time that it took says nothing about prefills.
+func (g *Gate) Withdraw(key Key) {
+	delete(g.waiting, key)
+	if p, ok := g.prefills[key]; ok {
+		delete(g.prefills, key)
+		g.pacer.end(p.work)
 	}
-	return n
 }
 
 func (g *Gate) prefillTime(tokens int) time.Duration {
-	return time.Duration(tokens) * g.prefillPerToken
-}
-
-// WaitingAdapters calls yield for each adapter version that requests wait for,
-// with the demand for it if a load takes loadTime from now on.
-func (g *Gate) WaitingAdapters(now, loadTime time.Duration, yield func(adapter topology.Adapter, version int64, demand residency.Demand)) {
-	type adapterVersion struct {
-		adapter topology.Adapter
-		version int64
-	}
-	demands := make(map[adapterVersion]residency.Demand)
-	for _, w := range g.waiting {
-		key := adapterVersion{w.Adapter, w.Version}
-		demand := demands[key]
-		switch {
-		case !g.isLate(now+loadTime, w):
-			if demand.Timely == 0 || w.FirstEventDue < demand.Due {
-				demand.Due = w.FirstEventDue
-			}
-			demand.Timely += weight(w.Priority)
-		case now+loadTime < w.Deadline:
-			demand.Late += weight(w.Priority)
-		}
-		demands[key] = demand
-	}
-	for key, demand := range demands {
-		yield(key.adapter, key.version, demand)
-	}
+	return g.pacer.model.Prefill(tokens)
 }
 
 // isLate reports whether a request that is admitted at the given time misses its
 // objective.
 func (g *Gate) isLate(admittedAt time.Duration, w *waiter) bool {
-	return admittedAt+g.prefillTime(w.PromptTokens)+firstEventOverhead > w.FirstEventDue
-}
-
-// weight returns the weight in load requests of a request with the priority.
-func weight(priority int) float64 {
-	const lowest = 4
-	return float64(1 + max(lowest-priority, 0))
+	return max(admittedAt, g.pacer.busyUntil)+g.prefillTime(w.PromptTokens)+g.pacer.model.Overhead() > w.FirstEventDue
 }
 
 // Decision is the status to report to the request's entry.
@@ -267,21 +206,39 @@
 			delete(g.waiting, key)
 		}
 	}
-	if len(g.prefills) > 0 || now < g.lastEndedAt+admissionGap {
+	if !g.mayJoin(now, ready) {
 		return decisions
 	}
 	for ; len(ready) > 0 && freeSlots > 0; freeSlots-- {
-		i := g.pick(now, ready)
-		if !g.fits(ready[i].Request) {
+		i, picked := g.pick(now, ready)
+		r := ready[i].Request
+		if !g.pacer.fits(now, r.PromptTokens, r.PauseObjective) {
 			break
 		}
-		g.admit(now, ready[i].Request)
-		decisions = append(decisions, Decision{Request: ready[i].Request, Status: residency.Ready})
+		if picked.w != nil {
+			g.fair.admit(now, picked, ready, func(w *waiter) bool { return g.isLate(now, w) })
+		}
+		g.admit(now, r)
+		decisions = append(decisions, Decision{Request: r, Status: residency.Ready})
 		ready = slices.Delete(ready, i, i+1)
 	}
+	g.fair.resetIdle(g.waiting)
 	return decisions
 }
 
+// mayJoin reports whether prompts may be admitted now. Between the end of a go's prefills and
+// the next go, prompts join the former only if none remains: each would put the next go off.
+func (g *Gate) mayJoin(now time.Duration, ready []*waiter) bool {
+	if now < g.pacer.busyUntil || now >= g.pacer.nextGoAt() {
+		return true
+	}
+	work := time.Duration(0)
+	for _, w := range ready {
+		work += g.prefillTime(w.PromptTokens)
+	}
+	return len(ready) > 0 && g.pacer.goWork+work <= goLimit(ready[0].PauseObjective)
+}
+
 // HasWaiting reports whether requests wait for admission.
 func (g *Gate) HasWaiting() bool {
 	return len(g.waiting) > 0
@@ -313,35 +270,30 @@
 		}
 	}
 	for key, p := range g.prefills {
-		if now-p.admittedAt > 2*g.prefillTime(p.tokens)+lostAdmissionGrace {
+		if now-p.admittedAt > g.maxTimeToFirstEvent(p) {
 			delete(g.prefills, key)
-			g.lastEndedAt = now
+			g.pacer.end(p.work)
+			g.pacer.silent = g.pacer.silent || p.admittedAt >= g.reportedAt
 		}
 	}
 }
 
-// fits reports whether the prefill of a request fits into the pause objective
-// together with those in progress.
-func (g *Gate) fits(r Request) bool {
-	if len(g.prefills) == 0 {
-		return true
-	}
-	objective := r.PauseObjective
-	if objective <= 0 {
-		objective = defaultPauseObjective
-	}
-	total := g.prefillTime(r.PromptTokens)
-	for _, p := range g.prefills {
-		total += g.prefillTime(p.tokens)
-	}
-	return total <= time.Duration(prefillPauseShare*float64(objective))
+// maxTimeToFirstEvent returns how long after its admission a request without a report is
+// taken for lost.
+func (g *Gate) maxTimeToFirstEvent(p prefill) time.Duration {
+	return p.dueAt - p.admittedAt + p.work + lostAdmissionGrace
 }
 
-// pick returns the index of the request to admit next: of those that can still
-// meet their objective the one due first, adjusted by priority. Every
-// lateInterval-th admission goes to the first due of those that can't.
-func (g *Gate) pick(now time.Duration, ready []*waiter) int {
+// pick returns the index of the request to admit next. Where requests have customers, these
+// decide. Otherwise it is, of those that can still meet their objective, the one due first,
+// adjusted by priority, and every lateInterval-th admission goes to the first due of those
+// that can't.
+func (g *Gate) pick(now time.Duration, ready []*waiter) (int, choice) {
 	isLate := func(w *waiter) bool { return g.isLate(now, w) }
+	if slices.ContainsFunc(ready, func(w *waiter) bool { return w.Customer != 0 }) {
+		picked := g.fair.pick(ready, isLate)
+		return slices.Index(ready, picked.w), picked
+	}
 	lateFirst := g.admittedCount%lateInterval == lateInterval-1
 	best := 0
 	for i := range ready {
@@ -349,7 +301,7 @@
 			best = i
 		}
 	}
-	return best
+	return best, choice{}
 }
 
 func compare(a, b *waiter, isLate func(*waiter) bool, lateFirst bool) int {
@@ -360,22 +312,33 @@
 		return 1
 	}
 	due := func(w *waiter) time.Duration { return w.FirstEventDue + time.Duration(w.Priority)*priorityDelay }
-	if c := cmp.Compare(due(a), due(b)); c != 0 {
-		return c
-	}
-	if c := cmp.Compare(a.Entry, b.Entry); c != 0 {
-		return c
-	}
-	return cmp.Compare(a.Ticket, b.Ticket)
+	return cmp.Or(cmp.Compare(due(a), due(b)), compareKeys(a, b))
+}
+
+// compareDue orders requests by when their first events are due.
+func compareDue(a, b *waiter) int {
+	return cmp.Or(cmp.Compare(a.FirstEventDue, b.FirstEventDue), compareKeys(a, b))
+}
+
+func compareKeys(a, b *waiter) int {
+	return cmp.Or(cmp.Compare(a.Entry, b.Entry), cmp.Compare(a.Ticket, b.Ticket))
 }
 
 func (g *Gate) admit(now time.Duration, r Request) {
 	delete(g.waiting, r.Key)
+	overhead := g.pacer.model.Overhead()
+	shared := int(g.pacer.backlog(now) / g.pacer.model.PerToken())
+	work := g.pacer.admit(now, r.PromptTokens, r.PauseObjective)
+	dueAt := g.pacer.busyUntil + overhead
 	for key, p := range g.prefills {
-		p.alone = false
+		p.sharedTokens += r.PromptTokens
+		if p.dueAt > now+overhead {
+			// Not yet prefilled; the engine may prefill both in one step.
+			p.dueAt = dueAt
+		}
 		g.prefills[key] = p
 	}
-	g.prefills[r.Key] = prefill{adapter: r.Adapter, tokens: r.PromptTokens, admittedAt: now, alone: len(g.prefills) == 0}
+	g.prefills[r.Key] = prefill{adapter: r.Adapter, tokens: r.PromptTokens, work: work, admittedAt: now, dueAt: dueAt, sharedTokens: shared}
 	g.admittedCount++
 }
 
@@ -383,11 +346,11 @@
 // admission expires.
 func (g *Gate) NextCheckDelay(now time.Duration) time.Duration {
 	wait := time.Second
-	if len(g.prefills) == 0 && len(g.waiting) > 0 && g.lastEndedAt+admissionGap > now {
-		wait = g.lastEndedAt + admissionGap - now
+	if next := g.pacer.nextGoAt(); len(g.waiting) > 0 && next > now {
+		wait = min(wait, next-now)
 	}
 	for _, p := range g.prefills {
-		wait = min(wait, p.admittedAt+2*g.prefillTime(p.tokens)+lostAdmissionGrace-now)
+		wait = min(wait, p.admittedAt+g.maxTimeToFirstEvent(p)-now)
 	}
 	return max(wait, time.Millisecond)
 }
--- a/internal/locator/work.go
+++ b/internal/locator/work.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/barleylift/barleylift/internal/clock"
 	"github.com/barleylift/barleylift/internal/residency"
 	"github.com/barleylift/barleylift/internal/steer"
 	"github.com/barleylift/barleylift/internal/topology"
@@ -35,6 +36,21 @@
 	return time.Duration(v.waitingTokens-v.waitingTokensAtState) * v.prefillPerToken
 }
 
+// WaitingWork estimates the time that an engine needs for the prompts that it has yet to
+// prefill. It returns false if that is unknown, or does not tell how long a request waits
+// there: all of the engine's slots are taken.
+func (l *Locator) WaitingWork(engine string) (time.Duration, bool) {
+	now := clock.Boot()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	v := l.views[engine]
+	if v == nil || v.upstream.Slots > 0 && v.estimateRunning(now) >= v.upstream.Slots {
+		return 0, false
+	}
+	work, _, ok := v.estimateWaitingWork(now)
+	return work, ok
+}
+
 // addWork adds to a snapshot what is known of the engine's pace and of its work.
 func (v *view) addWork(now time.Duration, e *steer.Engine, need Need) {
 	e.WorkAge = noReport
