--- a/internal/locator/locator.go
+++ b/internal/locator/locator.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/barleylift/barleylift/internal/clock"
+	"github.com/barleylift/barleylift/internal/cost"
 	"github.com/barleylift/barleylift/internal/fragility"
 	"github.com/barleylift/barleylift/internal/orders"
 	"github.com/barleylift/barleylift/internal/ratelimit"
@@ -158,6 +159,9 @@
 	SoftwareVersion string
 	// Random is a number of the request.
 	Random uint64
+	// PromptTokens is the length of the prompt, and Links identify its parts.
+	PromptTokens int
+	Links        []cost.Link
 }
 
 // Engines returns the engines for a request, without those that are leaving, pause,
@@ -175,7 +179,7 @@
 			continue
 		}
 		version, held := v.held[adapter]
-		engines = append(engines, steer.Engine{
+		engine := steer.Engine{
 			ID:               id,
 			Running:          v.estimateRunning(now),
 			Slots:            v.upstream.Slots,
@@ -187,7 +191,9 @@
 			PendingLoads:     v.state.PendingLoads,
 			Queued:           v.estimateWaiting(now),
 			Suspect:          v.failures.get(now) >= suspectThreshold,
-		})
+		}
+		v.addWork(now, &engine, need)
+		engines = append(engines, engine)
 	}
 	return engines
 }
@@ -210,13 +216,14 @@
 		}
 		failures := v.failures.get(now)
 		replicas = append(replicas, steer.Replica{
-			ID:             id,
-			Running:        v.running,
-			Slots:          v.upstream.Slots,
-			SameZone:       v.upstream.Zone == l.config.Zone,
-			FailureRate:    failures / (failures + 1),
-			LatencySeconds: v.latency.Seconds(),
-			TieBreaker:     xxhash.Sum64String(l.config.Name + id),
+			ID:          id,
+			Running:     v.running,
+			Slots:       v.upstream.Slots,
+			SameZone:    v.upstream.Zone == l.config.Zone,
+			FailureRate: failures / (failures + 1),
+			WorkSeconds: v.pace.workAt(now).Seconds(),
+			WaitSeconds: v.expectedWait(now).Seconds(),
+			TieBreaker:  xxhash.Sum64String(l.config.Name+id) ^ random,
 		})
 	}
 	return replicas
@@ -242,6 +249,9 @@
 	if v == nil {
 		return
 	}
+	if v.running == 0 {
+		v.progressAt = clock.Boot()
+	}
 	v.running++
 	if adapter.Name != "" {
 		u := v.useOf(adapter)
@@ -250,6 +260,15 @@
 	}
 }
 
+// RecordPrompt records that a request with these prompt parts is sent to an engine.
+func (l *Locator) RecordPrompt(engine string, links []cost.Link) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if v := l.views[engine]; v != nil {
+		v.prompts.RecordSent(clock.Boot(), links)
+	}
+}
+
 // EndRequest records that a request to an upstream has ended.
 func (l *Locator) EndRequest(upstream string, adapter topology.Adapter, admitted bool) {
 	l.mu.Lock()
@@ -259,6 +278,7 @@
 		return
 	}
 	v.running--
+	v.progressAt = clock.Boot()
 	if adapter.Name != "" {
 		v.useOf(adapter).add(admitted, -1)
 	}
@@ -275,8 +295,7 @@
 	}
 	v.failures.add(clock.Boot(), -successCredit)
 	if took > 0 {
-		const weight = 0.1
-		v.latency += time.Duration(weight * float64(took-v.latency))
+		v.pace.record(clock.Boot(), took)
 	}
 }
 
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -75,6 +75,8 @@
 	roomIn       time.Duration
 	// declines counts the engines that could not accept the request.
 	declines int
+	// expected is what was expected of the request when its engine was chosen.
+	expected expectation
 	// admissionWait is the time spent waiting for adapter loads and admissions.
 	admissionWait time.Duration
 	// headSent is set once the head of a response was sent to the caller.
@@ -144,6 +146,7 @@
 // response is incomplete.
 func (e *exchange) finish() {
 	e.cancel()
+	e.learnCost()
 	took := time.Since(e.arrivedAt)
 	e.relay.config.Metrics.RequestEnded(e.route.Name, e.outcome, took)
 	if e.call.LastEventID != "" {
--- a/internal/relay/keys.go
+++ b/internal/relay/keys.go
@@ -7,6 +7,7 @@
 	"strconv"
 
 	"github.com/barleylift/barleylift/internal/routing"
+	"github.com/cespare/xxhash/v2"
 )
 
 // headerKeyRefused is set on the refusal of a request that was passed on if the VM does not
@@ -131,6 +132,22 @@
 	return e.customer.Name
 }
 
+// customerHash returns the hash by which owners of engines know the customer; 0 for none.
+func (e *exchange) customerHash() uint64 {
+	if e.customer == nil {
+		return 0
+	}
+	return xxhash.Sum64String(e.customer.Name)
+}
+
+// customerWeight returns the customer's weight in the shares of an engine: its rate.
+func (e *exchange) customerWeight() float64 {
+	if e.customer == nil {
+		return 0
+	}
+	return e.customer.Quota.Rate
+}
+
 // callerText returns what tells the caller from others in the request's fingerprint, which is
 // logged and sent to other VMs: nothing that derives from an API key.
 func (e *exchange) callerText() string {
