--- a/internal/steer/by_time_test.go
+++ b/internal/steer/by_time_test.go
@@ -23,7 +23,7 @@
 	random := rand.New(rand.NewPCG(3, 4))
 	counts := make(map[string]int)
 	for range 1000 {
-		choice, _ := PickEngine(adapter, engines, random.Uint64())
+		choice := pickByTime(adapter, engines, random.Uint64())
 		counts[choice.Engine]++
 	}
 	return counts
@@ -84,6 +84,23 @@
 	}
 }
 
+// pickByTime chooses by time as in a fleet of many engines.
+func pickByTime(adapter topology.Adapter, engines []Engine, random uint64) Choice {
+	engines = excludeIfPossible(engines, isSuspect)
+	return newFleetWork(engines).pick(adapter, engines, random)
+}
+
+// Guards against a change for fleets of few engines, where the choice by counts serves more in
+// time: it must hold although the owners report the pace.
+func TestFewEnginesAreChosenByCounts(t *testing.T) {
+	engines := pacedEngines(minEnginesByTime - 1)
+	engines[0].Holds, engines[1].Holds, engines[0].WaitingWork, engines[1].Queued = true, true, time.Second, 3
+	want := pickByCounts(hot, engines, 1)
+	if got, ok := PickEngine(hot, engines, 1); !ok || got != want {
+		t.Errorf("%d engines: choice %v, want that by counts: %v", len(engines), got, want)
+	}
+}
+
 // Guards against a spread by the count of requests: a queue of short prompts needs none, and
 // one long prompt does.
 func TestSpreadByExpectedWait(t *testing.T) {
@@ -99,7 +116,7 @@
 		t.Run(test.name, func(t *testing.T) {
 			engines := pacedEngines(4)
 			engines[0].Holds, engines[0].Queued, engines[0].WaitingWork = true, test.queued, test.work
-			choice, _ := PickEngine(hot, engines, 1)
+			choice := pickByTime(hot, engines, 1)
 			if spread := choice.SpreadTo != ""; spread != test.spread || choice.SpreadTo == engines[0].ID {
 				t.Errorf("spread to %q, want a spread: %v", choice.SpreadTo, test.spread)
 			}
--- a/internal/steer/engine.go
+++ b/internal/steer/engine.go
@@ -108,12 +108,18 @@
 	if len(engines) == 0 {
 		return Choice{}, false
 	}
-	if fleet := newFleetWork(engines); fleet.known {
+	if fleet := newFleetWork(engines); fleet.known && len(engines) >= minEnginesByTime {
 		return fleet.pick(adapter, engines, random), true
 	}
 	return pickByCounts(adapter, engines, random), true
 }
 
+// minEnginesByTime is the number of engines from which on one is chosen by expected time. A
+// weight store that feeds about ten engines carries some eight loads at once, and what binds
+// there is which engine holds which adapter: by time, more adapters leave their homes and are
+// loaded again, and fewer requests are in time than by counts.
+const minEnginesByTime = 24
+
 // pickByCounts chooses by numbers of requests, as no owner reports the pace of its
 // engine.
 func pickByCounts(adapter topology.Adapter, engines []Engine, random uint64) Choice {
