--- /dev/null
+++ b/internal/quota/census.go
@@ -0,0 +1,163 @@
+package quota
+
+import "time"
+
+const (
+	// proofValidity is how long a VM is entitled after the last moment at which the key-value
+	// service is known to have held its member key.
+	proofValidity = 10 * time.Second
+	// departureDelay is how long a VM counts after its member key has gone. It is longer
+	// than proofValidity, as the VM may learn of it late, and than maxStore.
+	departureDelay = 15 * time.Second
+	// joinDelay is how long after it has seen its own member key a new VM begins in any
+	// case: all that don't count it have lost their proofs.
+	joinDelay = proofValidity + time.Second
+	// minJoinDelay is the same if a coordinator confirms that all VMs count it. After an
+	// outage of the service the members' keys come back within about 2 s; a VM that starts
+	// then would count too few.
+	minJoinDelay = 4 * time.Second
+)
+
+// Member is a VM with a member key in the key-value service.
+type Member struct {
+	VM          string
+	Incarnation int64
+	// Counted is the number of VMs that the VM counted when it last announced that it is
+	// entitled; 0 if it hasn't.
+	Counted int
+}
+
+// memberState is what a Census knows of one VM.
+type memberState struct {
+	// goneAt is when its key was found absent; 0 while it is present.
+	goneAt time.Duration
+	// incarnation and revision are what the VM last told of its copy of the service.
+	incarnation int64
+	revision    int64
+}
+
+// Census counts the VMs that may be entitled, and knows up to which revision of the key-value
+// service all of them have told to count.
+type Census struct {
+	self    string
+	members map[string]*memberState
+	// firstReadAt is when the first members were set; knowsFormer is set if no VM can have
+	// gone shortly before that.
+	firstReadAt time.Duration
+	hasRead     bool
+	knowsFormer bool
+	// floor is the least number of VMs until floorUntil.
+	floor      int
+	floorUntil time.Duration
+	// expiresAt is when the next member that has gone is dropped; 0 for none.
+	expiresAt time.Duration
+	// confirmed is what Confirmed returned at confirmedAt.
+	confirmed   int64
+	confirmedAt time.Duration
+}
+
+// NewCensus returns a Census of the VM that has not seen any members.
+func NewCensus(self string) *Census {
+	return &Census{self: self, members: make(map[string]*memberState)}
+}
+
+// SetMembers replaces the members that have a key.
+func (c *Census) SetMembers(now time.Duration, members []Member) {
+	isCounted := false
+	present := make(map[string]bool, len(members))
+	for _, m := range members {
+		present[m.VM] = true
+		isCounted = isCounted || m.Counted > 0
+		state := c.members[m.VM]
+		if state == nil {
+			state = &memberState{}
+			c.members[m.VM] = state
+		}
+		state.goneAt = 0
+	}
+	for vm, state := range c.members {
+		if !present[vm] && state.goneAt == 0 {
+			state.goneAt = now
+		}
+	}
+	c.expiresAt = now
+	if !c.hasRead {
+		c.hasRead, c.firstReadAt = true, now
+		// Where nobody is entitled yet, nobody has just gone who was.
+		c.knowsFormer = !isCounted
+	}
+	c.expire(now)
+}
+
+// expire drops the members that have gone for long enough.
+func (c *Census) expire(now time.Duration) {
+	if c.expiresAt == 0 || now < c.expiresAt {
+		return
+	}
+	c.expiresAt = 0
+	for vm, state := range c.members {
+		if state.goneAt == 0 {
+			continue
+		}
+		due := state.goneAt + departureDelay
+		if now >= due {
+			delete(c.members, vm)
+		} else if c.expiresAt == 0 || due < c.expiresAt {
+			c.expiresAt = due
+		}
+	}
+}
+
+// N returns the number of VMs that share each customer's rate.
+func (c *Census) N(now time.Duration) int {
+	c.expire(now)
+	if now < c.floorUntil {
+		return max(len(c.members), c.floor)
+	}
+	return len(c.members)
+}
+
+// setFloor makes N at least n until VMs that the own copy of the service has never shown are
+// no longer entitled.
+func (c *Census) setFloor(now time.Duration, n int) {
+	c.floor = max(c.floor, n)
+	c.floorUntil = max(c.floorUntil, now+departureDelay)
+}
+
+// HearRevision records the revision up to which a VM's copy of the service is complete.
+func (c *Census) HearRevision(vm string, incarnation, revision int64) {
+	state := c.members[vm]
+	if state == nil {
+		return
+	}
+	if state.incarnation == incarnation {
+		revision = max(revision, state.revision)
+	}
+	state.incarnation, state.revision = incarnation, revision
+}
+
+// confirmInterval is how long Confirmed keeps its result, which takes a look at each VM.
+const confirmInterval = 100 * time.Millisecond
+
+// Confirmed returns the revision up to which the copies of all VMs that may be entitled are
+// complete; 0 if that is unknown.
+func (c *Census) Confirmed(now time.Duration) int64 {
+	if !c.hasRead || !c.knowsFormer && now-c.firstReadAt < departureDelay {
+		return 0
+	}
+	c.expire(now)
+	if c.confirmedAt == 0 || now-c.confirmedAt >= confirmInterval {
+		c.confirmed, c.confirmedAt = c.lowestRevision(), now
+	}
+	return c.confirmed
+}
+
+func (c *Census) lowestRevision() int64 {
+	lowest, isFirst := int64(0), true
+	for _, state := range c.members {
+		if isFirst || state.revision < lowest {
+			lowest, isFirst = state.revision, false
+		}
+	}
+	return lowest
+}
