--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -15,8 +15,9 @@
 	limits   Limits
 	hosts    map[string]map[string]*Route
 	services map[string]*Service
-	// requiresKeys is Config.RequiresKeys.
+	// requiresKeys is set if callers need an API key.
 	requiresKeys bool
+	customers    customers
 }
 
 // ConfigError reports an invalid field of a configuration.
@@ -41,6 +42,10 @@
 
 		requiresKeys: config.RequiresKeys,
 	}
+	var err error
+	if t.customers, err = newCustomers(config.Customers); err != nil {
+		return nil, err
+	}
 	for i := range config.Services {
 		t.services[config.Services[i].Name] = &config.Services[i]
 	}
@@ -84,11 +89,6 @@
 	return t.version
 }
 
-// RequiresKeys reports whether callers need an API key on routes that are not public.
-func (t *Table) RequiresKeys() bool {
-	return t.requiresKeys
-}
-
 // Limits returns the limits on callers.
 func (t *Table) Limits() Limits {
 	return t.limits
