--- a/internal/quota/wallet.go
+++ b/internal/quota/wallet.go
@@ -14,6 +14,8 @@
 	giveUpAfter = 200 * time.Millisecond
 	// MaxWait is how long a request waits for tokens.
 	MaxWait = 250 * time.Millisecond
+	// answerTime is what an answer takes at most as a rule.
+	answerTime = 40 * time.Millisecond
 	// retryUndecided is the Retry-After of a request for which no coordinator answered: the
 	// next coordinator takes over within about a second.
 	retryUndecided = 300 * time.Millisecond
@@ -56,7 +58,8 @@
 	Priority int
 
 	arrivedAt time.Duration
-	// askedAgainAt is when it may be asked for again, after an answer that room comes soon.
+	// askedAgainAt is when it may be asked for again, after an answer that room comes soon; 0
+	// if there was no answer.
 	askedAgainAt time.Duration
 }
 
@@ -265,7 +268,7 @@
 		if i < 0 {
 			continue
 		}
-		if r := a.waiting[i]; now-r.arrivedAt+retryAfter < MaxWait {
+		if r := a.waiting[i]; now-r.arrivedAt+retryAfter < MaxWait-answerTime {
 			// There is room while the request can still wait.
 			a.waiting[i].askedAgainAt = now + retryAfter
 			continue
--- a/internal/quota/wallet_ask.go
+++ b/internal/quota/wallet_ask.go
@@ -61,6 +61,8 @@
 			decisions = append(decisions, Decision{ID: r.ID, Outcome: Admitted, Waited: now - r.arrivedAt})
 		case (isOver || isAlone) && w.takeOwn(now, a, r.Cost):
 			decisions = append(decisions, Decision{ID: r.ID, Outcome: Admitted, Own: true, Waited: now - r.arrivedAt, Seen: a.seen})
+		case isOver && r.askedAgainAt != 0:
+			decisions = append(decisions, w.refuse(now, a, r))
 		case isOver:
 			decisions = append(decisions, a.undecided(now, r))
 		default:
