--- a/internal/promise/faults_test.go
+++ b/internal/promise/faults_test.go
@@ -424,6 +424,9 @@
 	{"the store turns all VMs away, in such a deployment", "503 within the bound", "TestVMsWithoutProofsStopWithinTheBound"},
 	{"a VM starts without the store, in such a deployment", "503 until its first proof", "TestRestartedVMServesNothingBeforeItsFirstProof"},
 	{"a VM loses its links to all upstreams", "answers through other VMs", "TestCallersOfVMsCutOffFromEnginesAreServed"},
+	{"an API key is removed while its request waits", "401 before any byte is sent", "TestKeyRemovedWhileTheRequestWaits"},
+	{"a VM knows no configuration", "503, not 401", "TestNoConfigurationIsNotTakenForAnUnknownKey"},
+	{"a configuration is malformed", "answers by the configuration in force", "TestMalformedConfigurationKeepsTheOneInForce"},
 }
 
 func TestFaultsOfRoleGatewayHaveTests(t *testing.T) {
