quotas wired into the relay and the gateway

Cause: customers' limits hold over all VMs. Change: the relay takes the tokens of a request once, before any admission or attempt on this VM, and answers 429 or 503 with Retry-After; the gateway runs entitlement, ledger and wallet over the exchanges. A member key tells the next process of its VM that all VMs count it (Member.Counted). Without any VM that reaches the key-value service the coordinators stay, as quotas need none.

--- a/internal/dissemination/entry.go
+++ b/internal/dissemination/entry.go
@@ -21,6 +21,8 @@
 	// over all VMs.
 	KindReplicaUse  uint32 = 5
 	KindReplicaLoad uint32 = 6
+	// KindQuotaState is a coordinator's reply to delegations.
+	KindQuotaState uint32 = 7
 )
 
 // Sender is the process that sent an entry.
--- a/internal/fleet/table.go
+++ b/internal/fleet/table.go
@@ -65,8 +65,10 @@
 	absentSince map[string]time.Duration
 	former      map[string]Member
 	engines     map[string]*engine
-	// membersVersion counts the changes of members, from 1 on.
+	// membersVersion counts the changes of members, from 1 on, and membersDigest is the sum
+	// of their keys' digests.
 	membersVersion int
+	membersDigest  uint64
 	// revision is the revision up to which the table is complete, and
 	// firstReadAt is when the first one was applied.
 	revision    int64
@@ -140,6 +142,9 @@
 
 func (t *Table) applyMember(now time.Duration, name string, change mirror.Change) {
 	t.membersVersion++
+	if previous, ok := t.members[name]; ok {
+		t.membersDigest -= keyDigest(memberPrefix, name, previous.revision)
+	}
 	var member Member
 	if change.Deleted || json.Unmarshal(change.Entry.Value, &member) != nil || member.Name != name {
 		if previous, ok := t.members[name]; ok {
@@ -154,6 +159,7 @@
 		updated.releasingSince = previous.releasingSince
 	}
 	t.members[name] = updated
+	t.membersDigest += keyDigest(memberPrefix, name, updated.revision)
 	delete(t.absentSince, name)
 	delete(t.former, name)
 }
@@ -235,10 +241,7 @@
 // Digest returns a digest of all members and engines' records. Tables with the
 // same keys and revisions have the same digest.
 func (t *Table) Digest() uint64 {
-	var sum uint64
-	for name, m := range t.members {
-		sum += keyDigest(memberPrefix, name, m.revision)
-	}
+	sum := t.membersDigest
 	for id, e := range t.engines {
 		if e.revision != 0 {
 			sum += keyDigest(enginePrefix, id, e.revision)
--- a/internal/fleet/types.go
+++ b/internal/fleet/types.go
@@ -31,6 +31,9 @@
 	Draining bool `json:"draining,omitempty"`
 	// CutOff is set while the VM reaches no upstream.
 	CutOff bool `json:"cut_off,omitempty"`
+	// Counted is the number of VMs that the daemon counted when it announced that it is
+	// entitled to a share of customers' limits; 0 if it hasn't. Older builds don't set it.
+	Counted int `json:"counted,omitempty"`
 }
 
 // ReleasesEngines reports whether other members may claim the member's engines.
--- a/internal/gateway/exchanges.go
+++ b/internal/gateway/exchanges.go
@@ -67,7 +67,9 @@
 	for _, m := range members {
 		others = append(others, coordinatorOf(m))
 	}
-	for _, ask := range g.coordinators.Next(clock.Boot(), g.coordinatorCandidates(members), others, rand.IntN) {
+	asks := g.coordinators.Next(clock.Boot(), g.coordinatorCandidates(members), others, rand.IntN)
+	g.followCoordinators()
+	for _, ask := range asks {
 		g.router.Request(ask)
 	}
 }
@@ -76,17 +78,24 @@
 func (g *Gateway) coordinatorCandidates(members []fleet.Member) []dissemination.Coordinator {
 	self := g.keeper.Self().Name
 	byName := make(map[string]fleet.Member)
-	var eligible []fleet.Member
+	var eligible, running []fleet.Member
 	for _, m := range members {
 		p, hasHeartbeat := g.peers.get(m.Name)
 		isOut := m.Draining || hasHeartbeat && p.storeDown
 		if m.Name == self {
 			isOut = g.draining.Load() || g.storeDisconnected()
 		}
+		byName[m.Name] = m
 		if !isOut {
 			eligible = append(eligible, m)
-			byName[m.Name] = m
 		}
+		if !m.Draining && (m.Name != self || !g.draining.Load()) {
+			running = append(running, m)
+		}
+	}
+	if len(eligible) == 0 {
+		// Quotas need no key-value service, but a coordinator.
+		eligible = running
 	}
 	var candidates []dissemination.Coordinator
 	for _, name := range rankWatchers(eligible, rankedCoordinators) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -74,6 +74,7 @@
 	// of it.
 	proof          freshness.Proof
 	keysWereUsable atomic.Bool
+	quotas         *quotas
 	// forwardLimiter limits the bytes that this daemon forwards as a watcher.
 	forwardLimiter *rate.Limiter
 
@@ -160,6 +161,7 @@
 	g.settings.Store(&s)
 	g.proof.SetBound(s.RevocationBound)
 	g.storeDown.Store(true)
+	g.quotas = newQuotas(s, g.incarnation, options.Meters.Quotas, options.Log)
 	g.pools = newPools(g.dialUpstream, g.connectionShare)
 	if err := g.buildParts(s); err != nil {
 		return nil, err
@@ -211,6 +213,7 @@
 		Quarantine: g,
 		Peers:      g,
 		Freshness:  g,
+		Quotas:     g,
 		Log:        log,
 	}); err != nil {
 		return err
@@ -223,6 +226,7 @@
 	if g.router, err = g.newRouter(s); err != nil {
 		return err
 	}
+	g.routeQuotas()
 	g.mesh, err = mesh.Open(mesh.Config{
 		Listen: s.Mesh, From: s.VM, Incarnation: g.incarnation, Receive: g.receive, CountBytes: meters.MeshBytes, Log: log,
 	})
@@ -257,7 +261,7 @@
 	var running sync.WaitGroup
 	running.Go(g.mesh.Run)
 	for _, part := range []func(context.Context){
-		g.mirror.Run, g.keeper.Run, g.runAssignments, g.runHeartbeats, g.runSweeps, g.runReloads, g.runReachability, g.runExchanges,
+		g.mirror.Run, g.keeper.Run, g.runAssignments, g.runHeartbeats, g.runSweeps, g.runReloads, g.runReachability, g.runExchanges, g.runQuotas,
 	} {
 		running.Go(func() { part(background) })
 	}
--- a/internal/gateway/servers.go
+++ b/internal/gateway/servers.go
@@ -114,6 +114,8 @@
 	InFlight   int64    `json:"in_flight"`
 	Engines    []string `json:"engines"`
 	Members    []string `json:"members"`
+	// Quotas is null if no customer has a limit.
+	Quotas *quotaStatus `json:"quotas"`
 	// Leaving lists the upstreams that have said in an answer that they leave.
 	Leaving []string `json:"leaving"`
 	// RateLimits lists the requests a second that upstreams take from all VMs
@@ -134,6 +136,7 @@
 		Draining:        g.draining.Load(),
 		CutOff:          g.CutOff(),
 		KeysUsable:      g.KeysUsable(),
+		Quotas:          g.quotaStatus(),
 		ProofAgeMS:      g.proofAgeMS(),
 		InFlight:        g.relay.InFlight(),
 		Engines:         g.keeper.OwnedEngines(),
--- a/internal/metrics/gateway.go
+++ b/internal/metrics/gateway.go
@@ -11,6 +11,8 @@
 // Gateway holds the collectors of a daemon that serves callers by routes. The
 // values of the labels route and service come from the accepted configuration.
 type Gateway struct {
+	// Quotas are those of customers' quotas.
+	Quotas        *Quotas
 	requests      *prometheus.CounterVec
 	duration      *prometheus.HistogramVec
 	firstEvent    *prometheus.HistogramVec
@@ -40,6 +42,7 @@
 // NewGateway creates the collectors and registers them with the registerer.
 func NewGateway(registerer prometheus.Registerer) *Gateway {
 	g := &Gateway{
+		Quotas:        newQuotas(registerer),
 		requests:      counter("requests_total", "Requests by route and outcome.", "route", "outcome"),
 		duration:      histogram("request_seconds", "Time from the arrival of a request to the end of its answer.", latencyBuckets, "route"),
 		firstEvent:    histogram("first_event_seconds", "Time from the arrival of a request to the first event of its answer.", latencyBuckets, "route"),
--- a/internal/quota/wallet.go
+++ b/internal/quota/wallet.go
@@ -299,3 +299,8 @@
 	left := max(a.refusedAt+a.retryAfter-now, minRetryAfter)
 	return Decision{ID: r.ID, Outcome: OverQuota, RetryAfter: left + time.Duration(spread*float64(left)), Waited: now - r.arrivedAt, Seen: a.seen}
 }
+
+// UndecidedNow returns the decision on a request that can't wait any longer.
+func UndecidedNow(r Request) Decision {
+	return Decision{ID: r.ID, Outcome: Undecided, RetryAfter: retryUndecided}
+}
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -35,6 +35,8 @@
 	cost         int64
 	// keyTable is the table against which the API key was checked last.
 	keyTable *routing.Table
+	// tokens are those that the request has taken from the customer's quota; nil for none.
+	tokens *takenTokens
 	// ctx is done when the caller disconnects or the deadline passes.
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -140,6 +142,7 @@
 // response is incomplete.
 func (e *exchange) finish() {
 	e.cancel()
+	e.returnTokens()
 	took := time.Since(e.arrivedAt)
 	e.relay.config.Metrics.RequestEnded(e.route.Name, e.outcome, took)
 	if e.call.LastEventID != "" {
@@ -159,6 +162,7 @@
 	outcomeRefused      = "refused"
 	outcomeUnauthorized = "unauthorized"
 	outcomeMalformed    = "malformed"
+	outcomeOverQuota    = "over quota"
 	outcomeUnknown      = "unknown"
 	outcomeBroken       = "broken"
 	outcomeCallerLeft   = "caller left"
@@ -339,6 +343,9 @@
 	if err := e.checkKey(); err != nil {
 		return err
 	}
+	if e.tokensAreOld() {
+		return errTokensOld
+	}
 	if _, blocked := e.relay.config.Quarantine.IsBlocked(e.subject, e.verdict); blocked {
 		return errWithheld
 	}
--- a/internal/relay/model.go
+++ b/internal/relay/model.go
@@ -61,6 +61,9 @@
 		} else if handled {
 			continue
 		}
+		if e.endIfOverQuota() {
+			return
+		}
 		if e.sends == 0 && time.Now().After(e.sendDeadline()) {
 			e.giveUp(http.StatusBadGateway, retryAfterLate, "the request could not begin in time")
 			return
@@ -312,7 +315,7 @@
 		e.refuseKey(errKeyRevoked.Error())
 		return true
 	}
-	if errors.Is(result.err, errKeysChanged) || errors.Is(result.err, errNotFresh) {
+	if errors.Is(result.err, errKeysChanged) || errors.Is(result.err, errNotFresh) || errors.Is(result.err, errTokensOld) {
 		return false
 	}
 	if errors.Is(result.err, errNotTaken) {
--- a/internal/relay/pass_on.go
+++ b/internal/relay/pass_on.go
@@ -73,6 +73,8 @@
 	if e.withholdIfBlocked() {
 		return true, true
 	}
+	// The other VM takes the tokens itself.
+	e.returnTokens()
 	e.triedVMs = append(e.triedVMs, vm)
 	e.relay.config.Metrics.RequestPassedOn(e.service.Name)
 	e.viaVM = true
@@ -147,11 +149,16 @@
 	mayServeElsewhere := result.response.Header.Get(headerUnreachable) != ""
 	keyRefused := isKeyRefusal(result.head, result.response.StatusCode, result.response.Header)
 	version := result.response.Header.Get(headerKeyRefused)
+	quotaRetryAfter, overQuota := overQuotaElsewhere(result.response.StatusCode, result.response.Header)
 	retryAfter := result.head.Statement.Pause
 	drain(result)
 	if keyRefused {
 		return e.handleVMKeyRefusal(version)
 	}
+	if overQuota && e.possibleRuns == 0 && !e.headSent {
+		e.refuseOverQuota(quotaRetryAfter)
+		return true
+	}
 	if mayServeElsewhere {
 		return false
 	}
--- a/internal/relay/plain.go
+++ b/internal/relay/plain.go
@@ -39,6 +39,9 @@
 		} else if handled {
 			continue
 		}
+		if e.endIfOverQuota() {
+			return
+		}
 		replicas := e.relay.config.Locator.Replicas(e.service.Name, e.tried, e.random())
 		id, ok := steer.PickReplica(replicas)
 		if !ok && (e.awaitNextTurn(false) || e.awaitRoom()) {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -94,6 +94,7 @@
 	Quarantine Quarantine
 	Peers      Peers
 	Freshness  Freshness
+	Quotas     Quotas
 	// Observe records what an upstream's answer says about later requests. sentAt is
 	// when the request was sent, by clock.Boot, or 0 if the answer is a refusal or may
 	// not be the upstream's own. answer names the answer in the log.
@@ -118,7 +119,7 @@
 
 // New returns a Relay without a routing table.
 func New(config Config) (*Relay, error) {
-	if config.Protocol == nil || config.Locator == nil || config.Pools == nil || config.Budget == nil || config.Metrics == nil || config.Origins == nil || config.Quarantine == nil || config.Peers == nil || config.Freshness == nil || config.Observe == nil || config.Log == nil {
+	if config.Protocol == nil || config.Locator == nil || config.Pools == nil || config.Budget == nil || config.Metrics == nil || config.Origins == nil || config.Quarantine == nil || config.Peers == nil || config.Freshness == nil || config.Quotas == nil || config.Observe == nil || config.Log == nil {
 		return nil, errors.New("relay: a dependency is missing")
 	}
 	return &Relay{config: config, log: config.Log.With("part", "relay")}, nil
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -16,6 +16,7 @@
 	"github.com/barleylift/barleylift/internal/metrics"
 	"github.com/barleylift/barleylift/internal/orders"
 	"github.com/barleylift/barleylift/internal/quarantine"
+	"github.com/barleylift/barleylift/internal/quota"
 	"github.com/barleylift/barleylift/internal/ratelimit"
 	"github.com/barleylift/barleylift/internal/residency"
 	"github.com/barleylift/barleylift/internal/routing"
@@ -48,6 +49,14 @@
 
 func (noPeers) ChooseVM([]string) (string, *hop.Pool, bool) { return "", nil, false }
 
+// noQuotas admits all requests.
+type noQuotas struct{}
+
+func (noQuotas) Acquire(context.Context, string, int64, int) quota.Decision {
+	return quota.Decision{Outcome: quota.Admitted}
+}
+func (noQuotas) Return(string, int64, quota.Decision) {}
+
 // noQuarantine knows no crashes.
 type noQuarantine struct{}
 
@@ -96,7 +105,7 @@
 		Protocol: minimalProtocol{}, Locator: engines, Pools: &testPools{}, Log: log,
 		Budget:  func(string) *limit.RetryBudget { return budget },
 		Metrics: metrics.NewGateway(prometheus.NewRegistry()),
-		Origins: noOrigins{}, Quarantine: noQuarantine{}, Peers: noPeers{}, Freshness: &proofOf{},
+		Origins: noOrigins{}, Quarantine: noQuarantine{}, Peers: noPeers{}, Freshness: &proofOf{}, Quotas: noQuotas{},
 		Observe: func(topology.Upstream, topology.Statement, time.Duration, string) {},
 	})
 	if err != nil {
