--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -35,6 +35,8 @@
 	cost         int64
 	// keyTable is the table against which the API key was checked last.
 	keyTable *routing.Table
+	// tokens are those that the request has taken from the customer's quota; nil for none.
+	tokens *takenTokens
 	// ctx is done when the caller disconnects or the deadline passes.
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -147,6 +149,7 @@
 func (e *exchange) finish() {
 	e.cancel()
 	e.learnCost()
+	e.returnTokens()
 	took := time.Since(e.arrivedAt)
 	e.relay.config.Metrics.RequestEnded(e.route.Name, e.outcome, took)
 	if e.call.LastEventID != "" {
@@ -166,6 +169,7 @@
 	outcomeRefused      = "refused"
 	outcomeUnauthorized = "unauthorized"
 	outcomeMalformed    = "malformed"
+	outcomeOverQuota    = "over quota"
 	outcomeUnknown      = "unknown"
 	outcomeBroken       = "broken"
 	outcomeCallerLeft   = "caller left"
@@ -346,6 +350,9 @@
 	if err := e.checkKey(); err != nil {
 		return err
 	}
+	if e.tokensAreOld() {
+		return errTokensOld
+	}
 	if _, blocked := e.relay.config.Quarantine.IsBlocked(e.subject, e.verdict); blocked {
 		return errWithheld
 	}
--- a/internal/relay/keys.go
+++ b/internal/relay/keys.go
@@ -25,18 +25,14 @@
 // refuseCaller refuses a new request if its caller may not use the route or states a
 // malformed usage of tokens, and reports whether it did.
 func (e *exchange) refuseCaller() bool {
-	e.keyTable = e.table
-	e.keysRequired = e.table.RequiresKeys()
-	if !e.keysRequired {
+	isUsable := e.keysUsable()
+	// The table is loaded after the proof was asked for: one from before may be older.
+	e.keyTable = e.relay.table.Load()
+	e.keysRequired = e.keyTable.RequiresKeys()
+	if !e.keysRequired || !isUsable || e.route.Public && !e.relay.config.Freshness.KeysUsable() {
 		return false
 	}
-	if !e.keysUsable() {
-		return false // it is passed on to a VM that may check the key, or refused
-	}
-	customer, known := e.table.Authenticate(string(e.call.Key))
-	if e.route.Public && known && !e.relay.config.Freshness.KeysUsable() {
-		known = false
-	}
+	customer, known := e.keyTable.Authenticate(string(e.call.Key))
 	switch {
 	case known:
 		e.customer = customer
--- a/internal/relay/resend_test.go
+++ b/internal/relay/resend_test.go
@@ -26,7 +26,8 @@
 type headerProtocol struct{ minimalProtocol }
 
 func (headerProtocol) DecodeRequest(r *http.Request) (*Call, error) {
-	call := &Call{ID: r.Header.Get("Id"), Method: r.Method, Host: "gym.example", Target: r.URL.Path, Path: r.URL.Path, Header: http.Header{}}
+	call := &Call{ID: r.Header.Get("Id"), Method: r.Method, Host: "gym.example", Target: r.URL.Path, Path: r.URL.Path, Header: http.Header{},
+		Key: Secret(strings.TrimPrefix(r.Header.Get("Authorization"), "Bearer "))}
 	if strings.HasPrefix(r.URL.Path, "/s/") {
 		call.Adapter = climb
 	}
