relay: the test of logged estimates has a fleet of more than 24 engines

Cause: engines of small fleets are chosen by counts since, so that the test saw no estimate. Change: thirty more engines without the adapter; the checks are the same.

--- a/internal/relay/estimate_test.go
+++ b/internal/relay/estimate_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"fmt"
 	"log/slog"
 	"net/http"
 	"net/http/httptest"
@@ -12,6 +13,7 @@
 	"github.com/barleylift/barleylift/internal/cost"
 	"github.com/barleylift/barleylift/internal/metrics"
 	"github.com/barleylift/barleylift/internal/orders"
+	"github.com/barleylift/barleylift/internal/residency"
 	"github.com/barleylift/barleylift/internal/topology"
 	"github.com/prometheus/client_golang/prometheus"
 )
@@ -40,7 +42,15 @@
 		_, registration := startStreams(t, "v1", false)
 		engines.SetUpstream(registration)
 		if paced {
-			engines.ApplyState(orders.EngineState{Engine: registration.ID, Incarnation: 1, PrefillPerToken: 50 * time.Microsecond})
+			held := []residency.HeldAdapter{{Adapter: climb}}
+			engines.ApplyState(orders.EngineState{Engine: registration.ID, Incarnation: 1, PrefillPerToken: 50 * time.Microsecond, Held: held})
+			// Engines of small fleets are chosen by counts.
+			for i := range 30 {
+				other := registration
+				other.ID = fmt.Sprint("other-", i)
+				other.Models = []topology.HeldModel{{Name: "base", Version: 1}}
+				engines.SetUpstream(other)
+			}
 		}
 		for _, id := range []string{"r1", "r2"} {
 			request := httptest.NewRequest(http.MethodPost, "/s/", nil)
