replicaload: sums of what runs at replicas over all VMs

A VM knows only its own requests at a replica of a plain service. VMs now tell both coordinators what they have running there (ReplicaUse) and get the sums (ReplicaLoad) in the exchanges that run where the table requires API keys. No need for exchanges is registered. Both entries hold one list in an envelope with the time of the VM's own report, which the reply echoes, so that the own part is subtracted exactly. The choice of a replica does not use the sums yet.

go test -race -count=1 ./internal/replicaload ./internal/locator ./internal/dissemination: ok.

--- a/internal/gateway/doc.go
+++ b/internal/gateway/doc.go
@@ -7,7 +7,7 @@
 // service, header fields, registrations) and does nothing else.
 //
 // Lock order: Gateway.mu before the locks of its parts; those of orders before
-// locator.Locator.mu; locator.Locator.mu and
+// locator.Locator.mu, which comes before that of replicaload.Known; locator.Locator.mu and
 // quarantined.mu before those of the keeper and of peers. Gateway.mu, reach.mu and
 // quarantined.mu are not held together.
 package gateway
--- a/internal/gateway/exchanges.go
+++ b/internal/gateway/exchanges.go
@@ -58,6 +58,7 @@
 			g.requestExchanges()
 		}
 		g.reportProof()
+		g.logReplicaLoads()
 	}
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -20,6 +20,7 @@
 	"github.com/barleylift/barleylift/internal/mirror"
 	"github.com/barleylift/barleylift/internal/orders"
 	"github.com/barleylift/barleylift/internal/relay"
+	"github.com/barleylift/barleylift/internal/replicaload"
 	"github.com/barleylift/barleylift/internal/topology"
 	"github.com/prometheus/client_golang/prometheus"
 	"golang.org/x/time/rate"
@@ -74,6 +75,13 @@
 	// of it.
 	proof          freshness.Proof
 	keysWereUsable atomic.Bool
+	// replicaSums is what runs at replicas on all VMs, if this one is a coordinator, and
+	// replicaLoads what coordinators have told this VM of that.
+	replicaSums  *replicaload.Sums
+	replicaLoads replicaload.Known
+	// replicaLoadsKnown is whether the last log line on replicaLoads said that sums are in
+	// use. Only the goroutine of the exchanges uses it.
+	replicaLoadsKnown bool
 	// forwardLimiter limits the bytes that this daemon forwards as a watcher.
 	forwardLimiter *rate.Limiter
 
@@ -155,6 +163,7 @@
 		quarantined:        newQuarantined(),
 		reach:              newReach(),
 		coordinators:       dissemination.NewCoordinators(s.VM),
+		replicaSums:        replicaload.NewSums(),
 		forwardLimiter:     rate.NewLimiter(forwardRate, forwardBurst),
 	}
 	g.settings.Store(&s)
@@ -171,7 +180,7 @@
 	var err error
 	log := g.options.Log
 	meters := g.options.Meters
-	if g.locator, err = locator.New(locator.Config{Zone: s.Zone, Name: s.VM, SendRequest: g.sendRequest, SendProgress: g.sendProgress, SendTurnRequest: g.sendTurnRequest, RankAt: g.rankAt, Log: log}); err != nil {
+	if g.locator, err = locator.New(locator.Config{Zone: s.Zone, Name: s.VM, SendRequest: g.sendRequest, SendProgress: g.sendProgress, SendTurnRequest: g.sendTurnRequest, RankAt: g.rankAt, OthersRunning: g.replicaLoads.Others, Log: log}); err != nil {
 		return err
 	}
 	if g.keeper, err = fleet.NewKeeper(fleet.KeeperConfig{
@@ -223,6 +232,7 @@
 	if g.router, err = g.newRouter(s); err != nil {
 		return err
 	}
+	g.shareReplicaLoads()
 	g.mesh, err = mesh.Open(mesh.Config{
 		Listen: s.Mesh, From: s.VM, Incarnation: g.incarnation, Receive: g.receive, CountBytes: meters.MeshBytes, Log: log,
 	})
--- a/internal/locator/locator.go
+++ b/internal/locator/locator.go
@@ -38,7 +38,10 @@
 	// RankAt returns this daemon's place, from 0 on, among all daemons in the order of an
 	// upstream, and their number; nil if there is only one.
 	RankAt func(upstream string) (rank, daemons int)
-	Log    *slog.Logger
+	// OthersRunning returns the number of requests that other VMs have running at a
+	// replica's process; 0 if unknown. It is called with Locator.mu held. It may be nil.
+	OthersRunning func(now time.Duration, replica string, incarnation int64) int
+	Log           *slog.Logger
 }
 
 // Locator is an entry's view of the upstreams. It is safe for concurrent use.
@@ -73,6 +76,9 @@
 	if config.RankAt == nil {
 		config.RankAt = func(string) (int, int) { return 0, 1 }
 	}
+	if config.OthersRunning == nil {
+		config.OthersRunning = func(time.Duration, string, int64) int { return 0 }
+	}
 	return &Locator{
 		config:         config,
 		log:            config.Log.With("part", "locator"),
@@ -211,6 +217,7 @@
 	}
 	replicas := make([]steer.Replica, 0, len(views))
 	for id, v := range views {
+		v.isReplica = true
 		if v.upstream.Leaving || slices.Contains(tried, id) || now < v.takesAt(random) {
 			continue
 		}
--- a/internal/locator/view.go
+++ b/internal/locator/view.go
@@ -28,6 +28,8 @@
 // view is this entry's view of one engine or replica.
 type view struct {
 	upstream topology.Upstream
+	// isReplica is set once a request to a plain service might have been sent there.
+	isReplica bool
 	// ownerIncarnation is the highest incarnation of which the engine's owner knows.
 	ownerIncarnation int64
 	// held lists the adapters that serve requests, with their versions.
