fleet: a restarted process takes over how many VMs the one before it counted

Cause: a process announces itself before it has read the members, and so overwrote the key by which it would have known that all VMs count it. Change: where quotas are used, the former key is read before the first announcement.

--- a/internal/fleet/counted.go
+++ b/internal/fleet/counted.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 
 	"github.com/barleylift/barleylift/internal/infra"
 )
@@ -24,6 +25,24 @@
 	return own.revision, own.Counted
 }
 
+// inheritCounted takes over Member.Counted from the member key of the process before this one,
+// before this one replaces the key: the copy of the service may first show the new key, and
+// then nothing would tell that all VMs count this one.
+func (k *Keeper) inheritCounted(ctx context.Context) error {
+	entry, err := k.config.KV.Get(ctx, k.config.Prefix+memberPrefix+k.config.Self.Name)
+	if err != nil {
+		return err
+	}
+	var former Member
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.hasInherited = true
+	if entry.Exists() && json.Unmarshal(entry.Value, &former) == nil && former.Name == k.config.Self.Name {
+		k.table.self.Counted = max(k.table.self.Counted, former.Counted)
+	}
+	return nil
+}
+
 // SetCounted announces Member.Counted. It changes nothing if the member key is not known to be
 // the last one that this process wrote; the next announcement then has it.
 func (k *Keeper) SetCounted(ctx context.Context, n int) error {
--- a/internal/fleet/keeper.go
+++ b/internal/fleet/keeper.go
@@ -32,6 +32,9 @@
 	Now func() time.Duration
 	// OnChange is called after the table has changed, without a lock held.
 	OnChange func()
+	// InheritCounted is set if Member.Counted is used. It costs one call to the service when
+	// a process starts.
+	InheritCounted bool
 }
 
 // Keeper holds this daemon's lease and member key, claims engines, and decides
@@ -50,6 +53,8 @@
 	// lastRenewalSentAt is when the last successful renewal was sent.
 	lastRenewalSentAt time.Duration
 	everRenewed       bool
+	// hasInherited is set once inheritCounted has succeeded.
+	hasInherited bool
 	// confirmedAt maps engines to when this daemon sent the last heartbeat after
 	// which another daemon confirmed that this one still owned the engine.
 	confirmedAt map[string]time.Duration
@@ -306,8 +311,13 @@
 // key if it is absent.
 func (k *Keeper) renew(ctx context.Context) error {
 	k.mu.RLock()
-	lease, memberRevision := k.lease, k.memberRevision
+	lease, memberRevision, hasInherited := k.lease, k.memberRevision, k.hasInherited
 	k.mu.RUnlock()
+	if k.config.InheritCounted && !hasInherited {
+		if err := k.inheritCounted(ctx); err != nil {
+			return err
+		}
+	}
 	sentAt := k.config.Now()
 	if lease == 0 {
 		granted, err := k.config.KV.Grant(ctx, k.config.Timing.LeaseTTL)
--- a/internal/freshness/proof_test.go
+++ b/internal/freshness/proof_test.go
@@ -130,7 +130,6 @@
 	proof   *Proof
 	offset  time.Duration // of its clock
 	version int64
-	asked   []time.Duration
 }
 
 // Whatever is lost, late or frozen, no VM may count as fresh for longer than the allowed age
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -196,6 +196,7 @@
 		AllDisconnected: g.storeUnreachableByAll,
 		IsOrdering:      g.reportedMayOrder,
 		OnChange:        g.signalReassign,
+		InheritCounted:  s.QuotaWindow > 0,
 	}); err != nil {
 		return err
 	}
