relay: a body that does not arrive in the request's time ends the request

Cause: the time limit of a request began only after its body had been read, so a caller that sent a byte now and then held a request for as long as it liked. Change: the body has the caller's time, after which the answer is 408 (not run) and the connection is closed.

--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -118,10 +118,7 @@
 }
 
 func newExchange(relay *Relay, w http.ResponseWriter, request *http.Request, call *Call, table *routing.Table, route *routing.Route, body []byte, arrived time.Time, passedOn bool) *exchange {
-	timeout := call.Timeout
-	if timeout <= 0 {
-		timeout = defaultCallTimeout
-	}
+	timeout := call.timeout()
 	e := &exchange{
 		relay: relay, w: w, request: request, call: call, table: table, route: route, body: body, arrivedAt: arrived, passedOn: passedOn,
 		deadline:    arrived.Add(min(timeout, route.Timeout)),
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -6,6 +6,7 @@
 	"io"
 	"log/slog"
 	"net/http"
+	"os"
 	"sync/atomic"
 	"time"
 
@@ -198,10 +199,10 @@
 		return
 	}
 	table := r.table.Load()
-	body, status, err := readBody(w, request, table)
+	body, status, err := readBodyUntil(w, request, table, arrived.Add(call.timeout()))
 	if err != nil {
 		r.log.Info("request rejected: can't read the body", "id", call.ID, "status", status, "error", err)
-		if request.Context().Err() != nil {
+		if request.Context().Err() != nil && !errors.Is(err, errBodyLate) {
 			panic(http.ErrAbortHandler)
 		}
 		r.config.Protocol.WriteError(w, call, status, 0, err.Error())
@@ -234,6 +235,30 @@
 
 var errBodyTooLarge = errors.New("the body exceeds the limit")
 
+// readBodyUntil reads the complete body of a request like readBody, until the caller's time is
+// over: one that sends a byte now and then would hold the request for as long as it likes.
+func readBodyUntil(w http.ResponseWriter, request *http.Request, table *routing.Table, deadline time.Time) ([]byte, int, error) {
+	if request.ContentLength == 0 {
+		return nil, 0, nil
+	}
+	controller := http.NewResponseController(w)
+	if err := controller.SetReadDeadline(deadline); err != nil {
+		return readBody(w, request, table) // no connection of its own, as in tests
+	}
+	body, status, err := readBody(w, request, table)
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		// The rest of the body may follow, so the connection can't be used again.
+		w.Header().Set("Connection", "close")
+		return nil, http.StatusRequestTimeout, errBodyLate
+	}
+	if err != nil {
+		return nil, status, err
+	}
+	return body, status, controller.SetReadDeadline(time.Time{})
+}
+
+var errBodyLate = errors.New("the body has not arrived within the request's time")
+
 // readBody reads the complete body of a request, up to the limit in force.
 func readBody(w http.ResponseWriter, request *http.Request, table *routing.Table) ([]byte, int, error) {
 	limit := int64(defaultMaxBodyBytes)
--- a/internal/relay/types.go
+++ b/internal/relay/types.go
@@ -50,6 +50,14 @@
 	Header http.Header
 }
 
+// timeout returns how long the caller waits for the response.
+func (c *Call) timeout() time.Duration {
+	if c.Timeout <= 0 {
+		return defaultCallTimeout
+	}
+	return c.Timeout
+}
+
 // SendParams holds what the daemon adds to a call when it sends it.
 type SendParams struct {
 	// UpstreamID identifies the process that may run the call; any other process
