quota: a coordinator that knows of few VMs sends callers back for a moment only

Change: below half of the shares its answer is 100 ms, so that requests wait for the next answer, and refused tokens don't count as promised.

--- a/internal/quota/ledger.go
+++ b/internal/quota/ledger.go
@@ -17,6 +17,11 @@
 	// maxPromised bounds the refused tokens for which later room counts as taken, in
 	// seconds at the customer's rate: callers of refused requests may not come back.
 	maxPromised = 5.0
+	// youngShare is the share of all VMs below which a coordinator does not know how much room
+	// there is: it has just begun, or is cut off. Its answers are then of no use for longer
+	// than youngRetryAfter, two of which fit into the time that a request waits.
+	youngShare      = 0.5
+	youngRetryAfter = 100 * time.Millisecond
 	// largestTime is how long the largest cost of a customer counts for its store.
 	largestTime = 10 * time.Second
 )
@@ -201,7 +206,9 @@
 		}
 		refused += c
 	}
-	b.promised = min(b.promised+refused, maxPromised*b.Rate)
+	if d.share >= youngShare {
+		b.promised = min(b.promised+refused, maxPromised*b.Rate)
+	}
 	spare := b.level - max(b.Burst, defaultBurst*b.Rate)/2
 	if refused == 0 && spare > 0 && need.Extra > 0 {
 		granted.Extra = min(need.Extra, int64(spare))
@@ -214,11 +221,11 @@
 // retryAfter returns when there is room for a cost that is refused now, after those that were
 // refused before it.
 func (l *Ledger) retryAfter(d *delegates, b *bucket, cost, debt float64) time.Duration {
+	if d.share < youngShare {
+		return youngRetryAfter
+	}
 	missing := max(-b.level, cost-debt-b.level, 0) + b.promised
 	perSecond := b.Rate * d.share
-	if perSecond <= 0 {
-		return maxRetryAfter
-	}
 	seconds := missing / perSecond
 	if seconds >= maxRetryAfter.Seconds() {
 		return maxRetryAfter
