quota: holes in the entitlement found by the simulation

Cause: the simulation checks that the shares of all VMs add up to at most 1 and that what is stored in all places together stays within a customer's store. Change: a member that has gone is dropped by the time of the copy, not of the clock; the key quotas, without a lease, tells that VMs may have been entitled; replies of coordinators set the least number of VMs of a new process. With few VMs a message changes the room of a token bucket at once; before, up to 0.5 s of what one VM delegated was cut off.

--- a/internal/fleet/counted.go
+++ b/internal/fleet/counted.go
@@ -41,3 +41,17 @@
 	_, err := k.config.KV.Txn(ctx, infra.Txn{If: []infra.Compare{infra.ModifiedAt(key, own.revision)}, Then: []infra.Op{put}})
 	return err
 }
+
+// QuotasInUse reports whether VMs may be entitled to shares of customers' limits, according to
+// the copy of the service.
+func (k *Keeper) QuotasInUse() bool {
+	k.mu.RLock()
+	defer k.mu.RUnlock()
+	return k.table.quotasInUse
+}
+
+// AnnounceQuotas writes that VMs may be entitled to shares of customers' limits.
+func (k *Keeper) AnnounceQuotas(ctx context.Context) error {
+	_, err := k.config.KV.Txn(ctx, infra.Txn{Then: []infra.Op{infra.Put(k.config.Prefix+quotasKey, []byte("in use"))}})
+	return err
+}
--- a/internal/fleet/table.go
+++ b/internal/fleet/table.go
@@ -69,6 +69,8 @@
 	// of their keys' digests.
 	membersVersion int
 	membersDigest  uint64
+	// quotasInUse is set if there is quotasKey.
+	quotasInUse bool
 	// revision is the revision up to which the table is complete, and
 	// firstReadAt is when the first one was applied.
 	revision    int64
@@ -128,6 +130,9 @@
 		if id, ok := strings.CutPrefix(key, enginePrefix); ok {
 			t.applyRecord(now, id, change)
 		}
+		if key == quotasKey {
+			t.quotasInUse = !change.Deleted
+		}
 	}
 	if t.revision == 0 {
 		t.firstReadAt, t.eraReadAt = now, now
--- a/internal/fleet/types.go
+++ b/internal/fleet/types.go
@@ -11,6 +11,9 @@
 const (
 	memberPrefix = "members/"
 	enginePrefix = "engines/"
+	// quotasKey is written before the first VM is entitled to a share of customers' limits,
+	// and stays.
+	quotasKey = "quotas"
 )
 
 // Member is a daemon's announcement, the value of its member key.
--- a/internal/gateway/quota_messages.go
+++ b/internal/gateway/quota_messages.go
@@ -85,7 +85,7 @@
 	}
 	g.quotas.mu.Lock()
 	defer g.quotas.mu.Unlock()
-	state.Confirmed, state.Members = g.quotas.census.Confirmed(now), g.quotas.census.N(now)
+	state.Confirmed, state.Members = g.quotas.census.Confirmed(now), g.quotas.census.N()
 	return []mesh.Entry{dissemination.NewEntry(dissemination.KindQuotaState, state)}
 }
 
@@ -101,13 +101,15 @@
 	}
 	now := clock.Boot()
 	revision, _ := g.keeper.OwnKey()
-	isSame := revision != 0 && state.Digest != 0 && state.Digest == g.keeper.MembersDigest()
 	g.quotas.mu.Lock()
 	defer g.quotas.mu.Unlock()
 	e := g.quotas.entitlement
+	isSame := revision != 0 && g.quotas.hasMembers && state.Digest != 0 && state.Digest == g.quotas.membersDigest
 	e.HearClock(now, from.Incarnation, time.Duration(state.SentAt)*time.Millisecond)
 	if isSame {
-		e.RecordProof(now, from.AskedAt-time.Duration(state.Age)*time.Millisecond)
+		asOf := from.AskedAt - time.Duration(state.Age)*time.Millisecond
+		g.quotas.census.RecordCopy(now, asOf)
+		e.RecordProof(now, asOf)
 	}
 	e.Confirm(now, state.Confirmed, state.Members)
 	return nil
--- a/internal/gateway/quota_upkeep.go
+++ b/internal/gateway/quota_upkeep.go
@@ -13,9 +13,8 @@
 	// coordinators.
 	upkeepInterval = 100 * time.Millisecond
 	// announceInterval is the least time between two announcements of how many VMs this one
-	// counts, and announceGrowth by how much the number must have grown.
+	// counts, of which there is one when the number has grown.
 	announceInterval = 15 * time.Second
-	announceGrowth   = 1.25
 	countedTimeout   = 2 * time.Second
 )
 
@@ -42,6 +41,7 @@
 	asOf, digest := g.mirror.AsOf(), g.keeper.MembersDigest()
 	members := g.keeper.Members()
 	revision, counted := g.keeper.OwnKey()
+	inUse := g.keeper.QuotasInUse()
 	copyRevision := g.mirror.Revision()
 	now := clock.Boot()
 	q := g.quotas
@@ -56,19 +56,20 @@
 		for _, m := range members {
 			list = append(list, quota.Member{VM: m.Name, Incarnation: m.Incarnation, Counted: m.Counted})
 		}
-		q.census.SetMembers(now, list)
+		q.census.SetMembers(now, list, inUse)
 		q.membersDigest, q.hasMembers = digest, true
 	}
 	q.census.HearRevision(g.settings.Load().VM, g.incarnation, copyRevision)
-	if revision != 0 && asOf != 0 {
-		q.entitlement.RecordProof(now, asOf)
-	}
 	if asOf != 0 {
-		q.entitlement.SetOwnKey(now, revision, counted)
+		q.census.RecordCopy(now, asOf)
+		if revision != 0 {
+			q.entitlement.RecordProof(now, asOf)
+		}
+		q.entitlement.SetOwnKey(now, revision, counted, inUse)
 	}
 	if entitled := q.entitlement.Entitled(now); entitled != q.isEntitled {
 		q.isEntitled = entitled
-		g.log.Info("entitlement to customers' limits has changed", "entitled", entitled, "vms", q.entitlement.N(now), "proof_age_ms", (now - asOf).Milliseconds())
+		g.log.Info("entitlement to customers' limits has changed", "entitled", entitled, "vms", q.entitlement.N(), "proof_age_ms", (now - asOf).Milliseconds())
 	}
 }
 
@@ -77,17 +78,29 @@
 	q := g.quotas
 	now := clock.Boot()
 	q.mu.Lock()
-	n := q.entitlement.N(now)
-	isDue := q.isEntitled && float64(n) > announceGrowth*float64(q.announced) && (q.announcedAt == 0 || now-q.announcedAt >= announceInterval)
+	n := q.entitlement.N()
+	isUnannounced := !g.keeper.QuotasInUse() && q.hasMembers && (q.inUseAt == 0 || now-q.inUseAt >= countedTimeout)
+	if isUnannounced {
+		q.inUseAt = now
+	}
+	isDue := q.isEntitled && n > q.announced && (q.announcedAt == 0 || now-q.announcedAt >= announceInterval)
 	if isDue {
 		q.announcedAt = now
 	}
 	q.mu.Unlock()
-	if !isDue {
+	if !isDue && !isUnannounced {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, countedTimeout)
 	defer cancel()
+	if isUnannounced {
+		if err := g.keeper.AnnounceQuotas(ctx); err != nil {
+			g.log.Info("use of quotas not announced", "error", err)
+		}
+	}
+	if !isDue {
+		return
+	}
 	if err := g.keeper.SetCounted(ctx, n); err != nil {
 		g.log.Info("number of counted VMs not announced", "vms", n, "error", err)
 		return
@@ -113,7 +126,7 @@
 			q.targets[group] = c.VM
 			q.log.Info("coordinator of a group of customers has changed", "group", group, "coordinator", c.VM, "former", former)
 			if !ok || former == "" {
-				q.log.Info("spending of the own entitlement has begun or ended", "group", group, "own", !ok, "share", q.entitlement.Delegation(now, group, 0).Share, "vms", q.entitlement.N(now))
+				q.log.Info("spending of the own entitlement has begun or ended", "group", group, "own", !ok, "share", q.entitlement.Delegation(now, group, 0).Share, "vms", q.entitlement.N())
 			}
 		}
 	}
@@ -141,7 +154,7 @@
 	if len(q.ids) == 0 {
 		return nil
 	}
-	status := &quotaStatus{VMs: q.entitlement.N(now), Entitled: q.entitlement.Entitled(now), Coordinators: q.targets[:]}
+	status := &quotaStatus{VMs: q.entitlement.N(), Entitled: q.entitlement.Entitled(now), Coordinators: q.targets[:]}
 	status.Coordinators = append([]string(nil), status.Coordinators...)
 	for group := range quota.Groups {
 		status.Delegated = append(status.Delegated, q.ledger.Share(now, group))
--- a/internal/gateway/quotas.go
+++ b/internal/gateway/quotas.go
@@ -61,6 +61,8 @@
 	// announced is what this process has announced as fleet.Member.Counted, at announcedAt.
 	announced   int
 	announcedAt time.Duration
+	// inUseAt is when this process last announced that quotas are in use.
+	inUseAt time.Duration
 }
 
 func newQuotas(s Settings, incarnation int64, meters *metrics.Quotas, log *slog.Logger) *quotas {
--- a/internal/quota/census.go
+++ b/internal/quota/census.go
@@ -29,7 +29,7 @@
 
 // memberState is what a Census knows of one VM.
 type memberState struct {
-	// goneAt is when its key was found absent; 0 while it is present.
+	// goneAt is when its key was first found absent; 0 while it is present.
 	goneAt time.Duration
 	// incarnation and revision are what the VM last told of its copy of the service.
 	incarnation int64
@@ -41,8 +41,11 @@
 type Census struct {
 	self    string
 	members map[string]*memberState
-	// firstReadAt is when the first members were set; knowsFormer is set if no VM can have
-	// gone shortly before that.
+	// copyAt is the moment as of which the copy of the service is complete. What ends with
+	// time ends by it: a VM whose key is absent in an old copy may have got it back since.
+	copyAt time.Duration
+	// firstReadAt is when this VM began to watch the members; knowsFormer is set if no VM
+	// can have gone shortly before that.
 	firstReadAt time.Duration
 	hasRead     bool
 	knowsFormer bool
@@ -61,13 +64,22 @@
 	return &Census{self: self, members: make(map[string]*memberState)}
 }
 
-// SetMembers replaces the members that have a key.
-func (c *Census) SetMembers(now time.Duration, members []Member) {
-	isCounted := false
+// RecordCopy records as of when the copy of the service is complete. It is called after the
+// members of that copy were set. After a gap in which a VM may have come, begun and gone, this VM
+// knows no more of former members than a new one.
+func (c *Census) RecordCopy(now, asOf time.Duration) {
+	if c.hasRead && c.copyAt != 0 && asOf-c.copyAt > proofValidity {
+		c.firstReadAt, c.knowsFormer = now, false
+	}
+	c.copyAt = max(c.copyAt, asOf)
+}
+
+// SetMembers replaces the members that have a key. inUse is set if a VM may be entitled, or have
+// been, according to the copy.
+func (c *Census) SetMembers(now time.Duration, members []Member, inUse bool) {
 	present := make(map[string]bool, len(members))
 	for _, m := range members {
 		present[m.VM] = true
-		isCounted = isCounted || m.Counted > 0
 		state := c.members[m.VM]
 		if state == nil {
 			state = &memberState{}
@@ -80,18 +92,18 @@
 			state.goneAt = now
 		}
 	}
-	c.expiresAt = now
+	c.expiresAt = max(c.copyAt, 1)
 	if !c.hasRead {
 		c.hasRead, c.firstReadAt = true, now
-		// Where nobody is entitled yet, nobody has just gone who was.
-		c.knowsFormer = !isCounted
+		// Where nobody has been entitled yet, nobody has just gone who was.
+		c.knowsFormer = !inUse
 	}
-	c.expire(now)
+	c.expire()
 }
 
 // expire drops the members that have gone for long enough.
-func (c *Census) expire(now time.Duration) {
-	if c.expiresAt == 0 || now < c.expiresAt {
+func (c *Census) expire() {
+	if c.expiresAt == 0 || c.copyAt < c.expiresAt {
 		return
 	}
 	c.expiresAt = 0
@@ -100,7 +112,7 @@
 			continue
 		}
 		due := state.goneAt + departureDelay
-		if now >= due {
+		if c.copyAt >= due {
 			delete(c.members, vm)
 		} else if c.expiresAt == 0 || due < c.expiresAt {
 			c.expiresAt = due
@@ -109,9 +121,9 @@
 }
 
 // N returns the number of VMs that share each customer's rate.
-func (c *Census) N(now time.Duration) int {
-	c.expire(now)
-	if now < c.floorUntil {
+func (c *Census) N() int {
+	c.expire()
+	if c.copyAt < c.floorUntil {
 		return max(len(c.members), c.floor)
 	}
 	return len(c.members)
@@ -142,10 +154,10 @@
 // Confirmed returns the revision up to which the copies of all VMs that may be entitled are
 // complete; 0 if that is unknown.
 func (c *Census) Confirmed(now time.Duration) int64 {
-	if !c.hasRead || !c.knowsFormer && now-c.firstReadAt < departureDelay {
+	if !c.hasRead || !c.knowsFormer && c.copyAt < c.firstReadAt+departureDelay {
 		return 0
 	}
-	c.expire(now)
+	c.expire()
 	if c.confirmedAt == 0 || now-c.confirmedAt >= confirmInterval {
 		c.confirmed, c.confirmedAt = c.lowestRevision(), now
 	}
--- a/internal/quota/entitlement.go
+++ b/internal/quota/entitlement.go
@@ -83,15 +83,16 @@
 
 // SetOwnKey records the own VM's member key, a few times a second and after each change of the
 // members: its revision in the own copy of the service, or 0 if there is none. counted is
-// Member.Counted of the key. What is known of the age of the copy is recorded first.
-func (e *Entitlement) SetOwnKey(now time.Duration, revision int64, counted int) {
+// Member.Counted of the key, and inUse tells whether the copy shows that VMs may be entitled:
+// before that this VM doesn't begin. What is known of the age of the copy is recorded first.
+func (e *Entitlement) SetOwnKey(now time.Duration, revision int64, counted int, inUse bool) {
 	isFirstRead := !e.hasRead
 	e.hasRead = true
 	if revision != 0 && isFirstRead && counted > 0 {
 		e.wasCounted = true
 		e.census.setFloor(now, counted)
 	}
-	if revision != 0 && e.ownSeenAt == 0 && e.isProven(now) {
+	if revision != 0 && inUse && e.ownSeenAt == 0 && e.isProven(now) {
 		e.ownSeenAt, e.ownRevision = now, revision
 	}
 	e.Advance(now)
@@ -107,10 +108,13 @@
 // and there are n of them.
 func (e *Entitlement) Confirm(now time.Duration, revision int64, n int) {
 	e.Advance(now)
+	if e.hasRead && e.census.copyAt < e.census.firstReadAt+departureDelay {
+		// The own copy of the service has never shown the VMs that had just gone.
+		e.census.setFloor(now, n)
+	}
 	if e.isStarted || e.ownSeenAt == 0 || !e.isProven(now) || now-e.ownSeenAt < minJoinDelay || revision < e.ownRevision {
 		return
 	}
-	e.census.setFloor(now, n)
 	e.start(now)
 }
 
@@ -129,8 +133,8 @@
 }
 
 // N returns the number of VMs that share each customer's rate, as this VM counts them.
-func (e *Entitlement) N(now time.Duration) int {
-	return e.census.N(now)
+func (e *Entitlement) N() int {
+	return e.census.N()
 }
 
 // isProven reports whether the service is known to have held the own member key lately.
@@ -139,11 +143,11 @@
 }
 
 // share returns the part of each rate that the VM is entitled to.
-func (e *Entitlement) share(now time.Duration) float64 {
+func (e *Entitlement) share() float64 {
 	if !e.isStarted {
 		return 0
 	}
-	return 1 / float64(max(e.census.N(now), 1))
+	return 1 / float64(max(e.census.N(), 1))
 }
 
 // Advance accrues entitlement up to now.
@@ -167,7 +171,7 @@
 		}
 		return
 	}
-	added := e.share(now) * elapsed.Seconds()
+	added := e.share() * elapsed.Seconds()
 	for g := range e.groups {
 		a := &e.groups[g]
 		if a.target == 0 {
@@ -218,7 +222,7 @@
 func (e *Entitlement) Delegation(now time.Duration, group int, to int64) mesh.Delegation {
 	e.Advance(now)
 	a := &e.groups[group]
-	d := mesh.Delegation{To: to, Group: group, Share: e.share(now), Total: a.totals[to]}
+	d := mesh.Delegation{To: to, Group: group, Share: e.share(), Total: a.totals[to]}
 	if known, ok := e.clocks[to]; ok {
 		d.SentAt = (now + known.offset).Milliseconds()
 	}
@@ -246,7 +250,7 @@
 	a := &e.groups[group]
 	l := localAccrual{sum: a.local, epoch: a.epoch}
 	if a.target == 0 && e.isStarted {
-		l.share, l.length = e.share(now), now-a.since
+		l.share, l.length = e.share(), now-a.since
 	}
 	return l
 }
--- a/internal/quota/ledger.go
+++ b/internal/quota/ledger.go
@@ -17,6 +17,9 @@
 	// maxPromised bounds the refused tokens for which later room counts as taken, in
 	// seconds at the customer's rate: callers of refused requests may not come back.
 	maxPromised = 5.0
+	// largeShare is a VM's share from which on each of its messages changes the room at
+	// once. With more VMs the room changes little with each, and computing it takes longer.
+	largeShare = 0.01
 	// largestTime is how long the largest cost of a customer counts for its store.
 	largestTime = 10 * time.Second
 )
@@ -108,7 +111,12 @@
 	}
 	// Levels fall with the time in which no VM was heard of, before it is heard of again.
 	l.refresh(now, message.Group)
-	l.groups[message.Group].hear(now, sentAt(now, message), from, message, l.bounds.jitter())
+	d := l.groups[message.Group]
+	d.hear(now, sentAt(now, message), from, message, l.bounds.jitter())
+	if message.Share >= largeShare {
+		// The room as of before would cut off what was just credited.
+		d.refreshedAt = 0
+	}
 	return true
 }
 
--- a/internal/quota/property_test.go
+++ b/internal/quota/property_test.go
@@ -26,13 +26,14 @@
 }
 
 // playFaults plays the events of data on a fleet and returns the simulation at its end.
-func playFaults(seed uint64, data []byte) *sim {
+func playFaults(t testing.TB, seed uint64, data []byte) *sim {
 	customers := []Customer{
 		{Name: "small", Rate: 2700, Burst: 2700}, {Name: "small too", Rate: 2700, Burst: 2700}, {Name: "no burst", Rate: 20000},
 		{Name: "medium", Rate: 40000, Burst: 40000}, {Name: "large", Rate: 340000, Burst: 340000}, {Name: "large too", Rate: 340000, Burst: 300000},
 	}
 	s := newSim(seed, customers)
 	s.expireKeys()
+	s.watch(t, fmt.Sprint("seed ", seed))
 	s.tries = 1
 	f := &faults{sim: s, data: data}
 	size, _ := f.next()
@@ -175,7 +176,7 @@
 	for seed := range uint64(seeds) {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
 			t.Parallel()
-			s := playFaults(seed, randomFaults(seed, events))
+			s := playFaults(t, seed, randomFaults(seed, events))
 			worst := s.checkBound(t, fmt.Sprint("seed ", seed))
 			if s.outcomes[Admitted] == 0 {
 				t.Error("no request was admitted")
@@ -194,6 +195,6 @@
 		if len(data) > 1+4*40 {
 			t.Skip("too long")
 		}
-		playFaults(seed, data).checkBound(t, fmt.Sprintf("seed %d, events %x", seed, data))
+		playFaults(t, seed, data).checkBound(t, fmt.Sprintf("seed %d, events %x", seed, data))
 	})
 }
--- a/internal/quota/scenario_test.go
+++ b/internal/quota/scenario_test.go
@@ -38,6 +38,14 @@
 		vm.muted = true
 		s.after(d, func() { vm.muted = false })
 	}},
+	{"most VMs don't hear the coordinator", "it kept the burst of VMs that had begun to delegate elsewhere", func(s *sim, d time.Duration) {
+		vm := s.coordinator(0)
+		vm.mutedFor = make(map[string]bool)
+		for _, other := range s.vms[1:] {
+			vm.mutedFor[other.name] = true
+		}
+		s.after(d, func() { vm.mutedFor = nil })
+	}},
 	{"coordinators muted in turn", "VMs changed coordinators again and again, and each kept a burst", func(s *sim, d time.Duration) {
 		for i := range 6 {
 			vm := s.coordinator(i % 2)
@@ -152,17 +160,20 @@
 			t.Run(fmt.Sprint(scenario.name, " for ", d), func(t *testing.T) {
 				t.Parallel()
 				worst := 0.0
-				for _, greedyAfter := range []time.Duration{0, 1100, 1900, 5200, 7600, 14500} {
+				for _, greedyAfter := range []time.Duration{0, 1100, 1900, 2300, 5200, 7600, 14500} {
 					s := newSim(uint64(d+greedyAfter), customers)
 					s.tries = 1
 					s.expireKeys()
 					for range scenarioVMs {
 						s.addVM()
 					}
+					s.watch(t, fmt.Sprintf("%s, greedy after %d ms (%s)", scenario.name, greedyAfter, scenario.guards))
 					s.after(warmUp, func() { scenario.begin(s, d) })
 					s.runUntil(warmUp + greedyAfter*time.Millisecond)
 					for _, c := range customers {
-						s.demand(c, 5, func() *simVM { return s.vms[s.random.IntN(len(s.vms))] })
+						// Much of the demand is on one VM, which may see what others don't.
+						s.demand(c, 4, func() *simVM { return s.vms[0] })
+						s.demand(c, 4, func() *simVM { return s.vms[s.random.IntN(len(s.vms))] })
 					}
 					s.runUntil(s.now + 13*time.Second)
 					worst = max(worst, s.checkBound(t, fmt.Sprintf("%s, greedy after %d ms (%s)", scenario.name, greedyAfter, scenario.guards)))
--- a/internal/quota/sim_test.go
+++ b/internal/quota/sim_test.go
@@ -62,7 +62,9 @@
 	keys     map[string]*memberKey
 	revision int64
 	kvDown   bool
-	copied   snapshot
+	// inUse is the key without a lease that quotas are in use.
+	inUse  bool
+	copied snapshot
 
 	// loss, duplication and delay are those of datagrams.
 	loss, duplication float64
@@ -89,6 +91,8 @@
 	backlog     []func()
 	// muted is set while the datagrams of the VM are lost, and those to it are not.
 	muted bool
+	// mutedFor are the VMs to which its datagrams are lost.
+	mutedFor map[string]bool
 	// side is the VM's side of a partition of the network, and kvCut is set while it
 	// doesn't reach the key-value service.
 	side  int
@@ -111,6 +115,7 @@
 // snapshot is a copy of the member keys at a revision, and the candidates for coordinators.
 type snapshot struct {
 	revision int64
+	inUse    bool
 	members  []Member
 	byName   map[string]memberKey
 	ranked   []dissemination.Coordinator
@@ -120,7 +125,7 @@
 	if s.copied.byName != nil && s.copied.revision == s.revision {
 		return s.copied
 	}
-	c := snapshot{revision: s.revision, byName: make(map[string]memberKey, len(s.keys))}
+	c := snapshot{revision: s.revision, inUse: s.inUse, byName: make(map[string]memberKey, len(s.keys))}
 	for _, vm := range s.vms {
 		if key := s.keys[vm.name]; key != nil {
 			c.members = append(c.members, key.Member)
@@ -247,6 +252,10 @@
 		return
 	}
 	s := vm.sim
+	if !s.inUse {
+		s.inUse = true
+		s.revision++
+	}
 	key := s.keys[vm.name]
 	if counted := vm.countedToAnnounce(); key == nil || key.Incarnation != vm.incarnation || key.Counted != counted {
 		s.revision++
@@ -263,7 +272,7 @@
 	if !vm.entitlement.Entitled(now) {
 		return vm.announced
 	}
-	if n := vm.entitlement.N(now); vm.announced == 0 || n*4 > vm.announced*5 {
+	if n := vm.entitlement.N(); n > vm.announced {
 		return n
 	}
 	return vm.announced
@@ -290,15 +299,16 @@
 	now := vm.now()
 	vm.entitlement.Advance(now)
 	if vm.copy.byName == nil || vm.copy.revision != copied.revision {
-		vm.census.SetMembers(now, copied.members)
+		vm.census.SetMembers(now, copied.members, copied.inUse)
 	}
 	vm.copy = copied
+	vm.census.RecordCopy(now, vm.copiedAt)
 	vm.census.HearRevision(vm.name, vm.incarnation, copied.revision)
 	own, ok := copied.byName[vm.name]
 	if ok {
 		vm.entitlement.RecordProof(now, vm.copiedAt)
 	}
-	vm.entitlement.SetOwnKey(now, own.revision, own.Counted)
+	vm.entitlement.SetOwnKey(now, own.revision, own.Counted, copied.inUse)
 }
 
 // exchange runs the exchanges that are due.
@@ -334,7 +344,7 @@
 			vm.census.HearRevision(from.VM, from.Incarnation, d.Revision)
 		}
 	}
-	state := mesh.QuotaState{SentAt: now.Milliseconds(), Confirmed: vm.census.Confirmed(now), Members: vm.census.N(now)}
+	state := mesh.QuotaState{SentAt: now.Milliseconds(), Confirmed: vm.census.Confirmed(now), Members: vm.census.N()}
 	incarnation := vm.incarnation
 	vm.send(from.VM, func(to *simVM) {
 		if to.incarnation != from.Incarnation || !to.coords.RecordReply(to.now(), vm.name, askedAt) {
@@ -359,7 +369,7 @@
 		copies = 2
 	}
 	for range copies {
-		if to == nil || vm.muted || vm.side != to.side || s.random.Float64() < s.loss {
+		if to == nil || vm.muted || vm.mutedFor[name] || vm.side != to.side || s.random.Float64() < s.loss {
 			continue
 		}
 		delay := s.between(200*time.Microsecond, max(s.maxDelay, time.Millisecond))
@@ -482,3 +492,50 @@
 	}
 	s.after(200*time.Millisecond, s.expireKeys)
 }
+
+// watch checks, ten times a second, what the proof of the bound builds on: the shares of all VMs
+// together are at most 1, and what all coordinators and VMs together have stored of a customer is
+// at most its store.
+func (s *sim) watch(t testing.TB, name string) {
+	t.Helper()
+	shares := 0.0
+	for _, vm := range s.vms {
+		if vm.alive && !vm.frozen {
+			vm.entitlement.Advance(vm.now())
+			shares += vm.entitlement.share()
+		}
+	}
+	if shares > 1+1e-9 {
+		t.Errorf("%s: the shares add up to %.4f at %v", name, shares, s.now)
+		return
+	}
+	for _, c := range s.customers {
+		stored, largest := 0.0, 0.0
+		for _, vm := range s.vms {
+			if vm.alive && !vm.frozen {
+				level, cost := vm.stored(c)
+				stored += level
+				largest = max(largest, cost)
+			}
+		}
+		// The room is computed for steps of time.
+		allowed := c.Rate * (testBounds.store(c, largest) + testBounds.jitter().Seconds() + (refreshInterval + 2*roomStep).Seconds())
+		if stored > allowed {
+			t.Errorf("%s: %.0f tokens of %s are stored at %v, want at most %.0f", name, stored, c.Name, s.now, allowed)
+			return
+		}
+	}
+	s.after(100*time.Millisecond, func() { s.watch(t, name) })
+}
+
+// stored returns what a VM has stored of a customer, and the largest cost for which it does.
+func (vm *simVM) stored(c Customer) (tokens, largest float64) {
+	now, id := vm.now(), c.ID()
+	group := GroupOf(id)
+	vm.ledger.refresh(now, group)
+	b := vm.ledger.buckets[group][id]
+	vm.ledger.update(now, group, b)
+	a := vm.wallet.accounts[id]
+	vm.wallet.updateOwn(now, a, 0)
+	return max(b.level, 0) + max(a.own, 0), b.largest
+}
--- a/internal/quota/wallet.go
+++ b/internal/quota/wallet.go
@@ -1,6 +1,7 @@
 package quota
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -122,14 +123,14 @@
 	entitlement *Entitlement
 	groups      [Groups]walletGroup
 	accounts    map[uint64]*account
-	// active are the customers with requests of the last while.
-	active map[uint64]*account
+	// active are the customers with requests of the last while, in the order of their IDs.
+	active []*account
 	random uint64
 }
 
 // NewWallet returns a Wallet without customers and coordinators.
 func NewWallet(bounds Bounds, entitlement *Entitlement) *Wallet {
-	return &Wallet{bounds: bounds, entitlement: entitlement, accounts: make(map[uint64]*account), active: make(map[uint64]*account), random: 1}
+	return &Wallet{bounds: bounds, entitlement: entitlement, accounts: make(map[uint64]*account), random: 1}
 }
 
 // SetCustomers replaces the customers with a limit. Requests of others that wait are decided
@@ -173,7 +174,7 @@
 		return Decision{ID: r.ID, Outcome: Admitted}
 	}
 	r.arrivedAt = now
-	w.active[a.id] = a
+	w.activate(a)
 	a.demand.add(now, r.Cost)
 	if !a.isWaiting(r.Priority) {
 		if expiresAt, ok := a.take(now, r.Cost); ok {
@@ -193,6 +194,15 @@
 	return Decision{ID: r.ID, Outcome: Waiting}
 }
 
+// activate adds an account to active.
+func (w *Wallet) activate(a *account) {
+	i, _ := slices.BinarySearchFunc(w.active, a.id, func(b *account, id uint64) int { return cmp.Compare(b.id, id) })
+	if i < len(w.active) && w.active[i] == a {
+		return
+	}
+	w.active = slices.Insert(w.active, i, a)
+}
+
 // Cancel withdraws a request that waits.
 func (w *Wallet) Cancel(customer, id uint64) {
 	if a := w.accounts[customer]; a != nil {
--- a/internal/quota/wallet_ask.go
+++ b/internal/quota/wallet_ask.go
@@ -1,7 +1,6 @@
 package quota
 
 import (
-	"maps"
 	"slices"
 	"time"
 
@@ -16,12 +15,13 @@
 			next = at
 		}
 	}
-	for id, a := range w.active {
+	active := w.active[:0]
+	for _, a := range w.active {
 		decisions = append(decisions, w.endWaits(now, a)...)
-		if len(a.waiting) == 0 && !a.demand.isRecent(now) {
-			delete(w.active, id)
+		if len(a.waiting) == 0 && (!a.demand.isRecent(now) || w.accounts[a.id] != a) {
 			continue
 		}
+		active = append(active, a)
 		for _, r := range a.waiting {
 			due(r.arrivedAt + MaxWait)
 			if r.askedAgainAt > now {
@@ -32,6 +32,8 @@
 			due(now + extraTime/4)
 		}
 	}
+	clear(w.active[len(active):])
+	w.active = active
 	for group := range w.groups {
 		g := &w.groups[group]
 		if ask, ok := w.step(now, group); ok {
@@ -114,18 +116,18 @@
 
 // turn returns the active accounts of a group, beginning after the one asked for last.
 func (w *Wallet) turn(group int) []*account {
-	var ids []uint64
-	for _, id := range slices.Sorted(maps.Keys(w.active)) {
-		if GroupOf(id) == group {
-			ids = append(ids, id)
+	next := w.groups[group].next
+	var before, after []*account
+	for _, a := range w.active {
+		switch {
+		case GroupOf(a.id) != group:
+		case a.id < next:
+			before = append(before, a)
+		default:
+			after = append(after, a)
 		}
 	}
-	first, _ := slices.BinarySearch(ids, w.groups[group].next)
-	accounts := make([]*account, 0, len(ids))
-	for i := range ids {
-		accounts = append(accounts, w.active[ids[(first+i)%len(ids)]])
-	}
-	return accounts
+	return append(after, before...)
 }
 
 // need returns what to ask for an account, and the IDs of the requests whose costs are asked
