--- a/internal/admission/gate.go
+++ b/internal/admission/gate.go
@@ -238,17 +238,17 @@
 	return decisions
 }
 
-// mayJoin reports whether prompts may be admitted now. Between the end of a go's prefills and
-// the next go, prompts join the former only if none remains: each would put the next go off.
+// mayJoin reports whether prompts may be admitted now. Between the end of a batch's prefills and
+// the next batch, prompts join the former only if none remains: each would put the next batch off.
 func (g *Gate) mayJoin(now time.Duration, ready []*waiter) bool {
-	if now < g.pacer.busyUntil || now >= g.pacer.nextGoAt() {
+	if now < g.pacer.busyUntil || now >= g.pacer.nextBatchAt() {
 		return true
 	}
 	work := time.Duration(0)
 	for _, w := range ready {
 		work += g.prefillTime(w.PromptTokens)
 	}
-	return len(ready) > 0 && g.pacer.goWork+work <= goLimit(ready[0].PauseObjective)
+	return len(ready) > 0 && g.pacer.batchWork+work <= batchLimit(ready[0].PauseObjective)
 }
 
 // HasWaiting reports whether requests wait for admission.
@@ -358,7 +358,7 @@
 // admission expires.
 func (g *Gate) NextCheckDelay(now time.Duration) time.Duration {
 	wait := time.Second
-	if next := g.pacer.nextGoAt(); len(g.waiting) > 0 && next > now {
+	if next := g.pacer.nextBatchAt(); len(g.waiting) > 0 && next > now {
 		wait = min(wait, next-now)
 	}
 	for _, p := range g.prefills {
--- a/internal/admission/hopeless.go
+++ b/internal/admission/hopeless.go
@@ -24,7 +24,7 @@
 // that of later arrivals: late answers are still worth something, so a request that may
 // begin before its deadline goes on waiting.
 func (g *Gate) hopeless(now time.Duration, ready []*waiter) []Decision {
-	begin := max(now, g.pacer.nextGoAt())
+	begin := max(now, g.pacer.nextBatchAt())
 	if now < g.hopelessCheckedAt+hopelessInterval || !g.anyHopeless(begin, ready) {
 		return nil
 	}
@@ -77,7 +77,7 @@
 
 // turnWork returns the time that an engine needs for some prefill work and the steps between.
 func (g *Gate) turnWork(work, objective time.Duration) time.Duration {
-	return work + time.Duration(float64(work)/float64(goLimit(objective))*float64(g.pacer.gap()))
+	return work + time.Duration(float64(work)/float64(batchLimit(objective))*float64(g.pacer.gap()))
 }
 
 // rankWork is the work of the requests of one rank that are not declined.
--- a/internal/admission/load_test.go
+++ b/internal/admission/load_test.go
@@ -254,7 +254,7 @@
 // the steps of an event. Admitted earlier, they delay an event twice; admitted only after the
 // reports of first events, they leave the engine idle for the part of these that is no
 // prefill.
-func TestNextGoFollowsPrefillAndSteps(t *testing.T) {
+func TestNextBatchFollowsPrefillAndSteps(t *testing.T) {
 	const start = time.Minute
 	ready := func(topology.Adapter, int64) residency.Status { return residency.Ready }
 	g := gateWithRequests(Request{PromptTokens: 3000, FirstEventDue: start + time.Second}, Request{PromptTokens: 3000, FirstEventDue: start + 2*time.Second})
@@ -301,7 +301,7 @@
 	for _, tokens := range []int{200, 1000, 3000, 9000} {
 		g := NewGate()
 		work := time.Duration(tokens) * initialPrefillPerToken
-		bound := unreportedGoes*goLimit(pauseObjective) + initialOverhead
+		bound := unreportedBatches*batchLimit(pauseObjective) + initialOverhead
 		ticket := uint64(0)
 		var admitted []time.Duration
 		for now := time.Minute; now < time.Minute+4*time.Second; now += 10 * time.Millisecond {
--- a/internal/admission/pacer.go
+++ b/internal/admission/pacer.go
@@ -5,14 +5,14 @@
 // Constants of the pace of admissions.
 const (
 	// prefillPauseShare is the share of the pause objective that prompts may take to
-	// prefill in one go; the rest is left to the steps between them.
+	// prefill in one batch; the rest is left to the steps between them.
 	prefillPauseShare = 0.6
 	// defaultPauseObjective applies to routes without a pause objective.
 	defaultPauseObjective = 300 * time.Millisecond
-	// eventSteps is the number of steps between two goes. An event holds 3 to 5 tokens, so
+	// eventSteps is the number of steps between two prefill batches. An event holds 3 to 5 tokens, so
 	// it is delayed by one go only. Prompts reach the engine some 10 ms earlier or later
-	// than expected; where two goes of their size exceed the objective most, after a prompt
-	// that takes longer than a go may and on slow engines, some more steps make up for that.
+	// than expected; where two batches of their size exceed the objective most, after a prompt
+	// that takes longer than a batch may and on slow engines, some more steps make up for that.
 	eventSteps     = 5
 	spareLongSteps = 2
 	spareSlowSteps = 2
@@ -26,25 +26,25 @@
 	// differ from 0.6 to 1.6.
 	minPaceFactor = 0.5
 	maxPaceFactor = 2.0
-	// unreportedGoes is the number of goes whose first events may be outstanding: one is
+	// unreportedBatches is the number of prefill batches whose first events may be outstanding: one is
 	// reported while the next one is prefilled.
-	unreportedGoes = 2
+	unreportedBatches = 2
 	// lateReport is how much later than expected a first event is reported by an engine
 	// that has stalled: messages take up to 20 ms.
 	lateReport = 60 * time.Millisecond
 )
 
 // pacer follows the time during which admitted prompts occupy the engine. Prompts are
-// admitted in goes: those of one go are prefilled without a pause for the running streams,
-// and the next go begins once these have had the steps of an event.
+// admitted in prefill batches: those of one batch are prefilled without a pause for the running streams,
+// and the next batch begins once these have had the steps of an event.
 type pacer struct {
 	model PrefillModel
 	// busyUntil is when the engine will have prefilled all admitted prompts.
 	busyUntil time.Duration
-	// goWork is the prefill time of the present go, and isLong is set if that is beyond the
-	// limit of a go: a single prompt is.
-	goWork time.Duration
-	isLong bool
+	// batchWork is the prefill time of the present batch, and isLong is set if that is beyond the
+	// limit of a batch: a single prompt is.
+	batchWork time.Duration
+	isLong    bool
 	// unreported is the prefill time of admitted prompts without a reported first event.
 	unreported time.Duration
 	// silent is set while the engine has not reported a first event since an admission
@@ -56,15 +56,15 @@
 	return pacer{model: NewPrefillModel()}
 }
 
-// goLimit returns the prefill time of one go for a pause objective.
-func goLimit(objective time.Duration) time.Duration {
+// batchLimit returns the prefill time of one batch for a pause objective.
+func batchLimit(objective time.Duration) time.Duration {
 	if objective <= 0 {
 		objective = defaultPauseObjective
 	}
 	return time.Duration(prefillPauseShare * float64(objective))
 }
 
-// gap returns the time between two goes.
+// gap returns the time between two prefill batches.
 func (p *pacer) gap() time.Duration {
 	pace := float64(p.model.PerToken()) / float64(stepTimePerToken)
 	steps := eventSteps
@@ -77,9 +77,9 @@
 	return time.Duration(float64(steps) * float64(stepTime) * min(max(pace, minPaceFactor), maxPaceFactor))
 }
 
-// nextGoAt returns when the next go may begin.
-func (p *pacer) nextGoAt() time.Duration {
-	if p.goWork == 0 {
+// nextBatchAt returns when the next batch may begin.
+func (p *pacer) nextBatchAt() time.Duration {
+	if p.batchWork == 0 {
 		return 0
 	}
 	return p.busyUntil + p.gap()
@@ -92,8 +92,8 @@
 
 // fits reports whether a prompt may be admitted now.
 func (p *pacer) fits(now time.Duration, tokens int, objective time.Duration) bool {
-	work, limit := p.model.Prefill(tokens), goLimit(objective)
-	if now < p.nextGoAt() && p.goWork+work > limit {
+	work, limit := p.model.Prefill(tokens), batchLimit(objective)
+	if now < p.nextBatchAt() && p.batchWork+work > limit {
 		return false
 	}
 	if p.unreported == 0 {
@@ -102,18 +102,18 @@
 	if p.silent {
 		return p.unreported+work <= limit
 	}
-	return p.unreported+work <= unreportedGoes*limit+p.model.Overhead()
+	return p.unreported+work <= unreportedBatches*limit+p.model.Overhead()
 }
 
 // admit counts a prompt that is admitted, and returns its prefill time.
 func (p *pacer) admit(now time.Duration, tokens int, objective time.Duration) time.Duration {
-	if now >= p.nextGoAt() {
-		p.goWork = 0
+	if now >= p.nextBatchAt() {
+		p.batchWork = 0
 	}
-	// An empty prompt counts as one token, so that a go with it has begun.
+	// An empty prompt counts as one token, so that a batch with it has begun.
 	work := p.model.Prefill(max(tokens, 1))
-	p.goWork += work
-	p.isLong = p.goWork > goLimit(objective)
+	p.batchWork += work
+	p.isLong = p.batchWork > batchLimit(objective)
 	p.unreported += work
 	p.busyUntil = max(p.busyUntil, now) + work
 	return work
--- a/internal/admission/pacer_test.go
+++ b/internal/admission/pacer_test.go
@@ -7,9 +7,9 @@
 )
 
 // Whatever arrives when, prompts that an engine prefills without the steps of an event
-// between them take no longer than a go may, or are a single prompt. An engine that prefills
+// between them take no longer than a batch may, or are a single prompt. An engine that prefills
 // as the model says is compared; on a slow one the same holds by its learned pace.
-func FuzzGoesStayWithinThePauseObjective(f *testing.F) {
+func FuzzBatchesStayWithinThePauseObjective(f *testing.F) {
 	for seed := range uint64(20) {
 		f.Add(seed)
 	}
@@ -34,8 +34,8 @@
 			work += took
 			prompts++
 			idleAt = max(idleAt, now) + took
-			if prompts > 1 && work > goLimit(objective) {
-				t.Fatalf("%v of prefill by %d prompts without a gap, want at most %v", work, prompts, goLimit(objective))
+			if prompts > 1 && work > batchLimit(objective) {
+				t.Fatalf("%v of prefill by %d prompts without a gap, want at most %v", work, prompts, batchLimit(objective))
 			}
 		}
 	})
