--- a/internal/quota/wallet.go
+++ b/internal/quota/wallet.go
@@ -22,7 +22,7 @@
 	retryUndecided = 300 * time.Millisecond
 	// maxCosts and maxNeeds bound an ask to one datagram.
 	maxCosts = 8
-	maxNeeds = 16
+	maxNeeds = 12
 	// maxWaiting bounds the requests of one customer that wait on one VM.
 	maxWaiting = 1024
 	// maxRefusalTime is how long an answer that a customer is over its quota refuses further
