--- a/internal/quota/bounds.go
+++ b/internal/quota/bounds.go
@@ -74,7 +74,8 @@
 // store returns what may be stored for a customer in all places together, in seconds at its
 // rate. largest is the largest cost that was asked for lately.
 func (b Bounds) store(c Customer, largest float64) float64 {
-	extra := (b.headroom() - b.TokenValidity() - b.jitter()).Seconds()
+	// The room of a token bucket may be as old as refreshInterval.
+	extra := max(b.headroom()-b.TokenValidity()-b.jitter()-refreshInterval, 0).Seconds()
 	tokens := c.Burst*(1+b.Overshoot) + min(b.Slack/2, largest)
 	return min(tokens/c.Rate+extra, maxStore.Seconds())
 }
--- a/internal/quota/sim_test.go
+++ b/internal/quota/sim_test.go
@@ -518,8 +518,7 @@
 				largest = max(largest, cost)
 			}
 		}
-		// The room is computed for steps of time.
-		allowed := c.Rate * (testBounds.store(c, largest) + testBounds.jitter().Seconds() + (refreshInterval + 2*roomStep).Seconds())
+		allowed := c.Rate * (testBounds.store(c, largest) + (testBounds.jitter() + refreshInterval).Seconds())
 		if stored > allowed {
 			t.Errorf("%s: %.0f tokens of %s are stored at %v, want at most %.0f", name, stored, c.Name, s.now, allowed)
 			return
