--- a/internal/quota/ledger.go
+++ b/internal/quota/ledger.go
@@ -18,13 +18,11 @@
 	// seconds at the customer's rate: callers of refused requests may not come back.
 	maxPromised = 5.0
 	// youngShare is the share of all VMs below which a coordinator does not know how much room
-	// there is: it has just begun, or is cut off. Its answers are then of no use for longer
-	// than youngRetryAfter, two of which fit into the time that a request waits.
+	// there is: it has just begun, or is cut off. It has credit after about 1.5 s, and after
+	// 4 s where all VMs have restarted. Callers have one retry as a rule, so youngRetryAfter
+	// makes it count; with 100 ms both were refused.
 	youngShare      = 0.5
-	youngRetryAfter = 100 * time.Millisecond
-	// largeShare is a VM's share from which on each of its messages changes the room at
-	// once. With more VMs the room changes little with each, and computing it takes longer.
-	largeShare = 0.01
+	youngRetryAfter = 3 * time.Second
 	// largestTime is how long the largest cost of a customer counts for its store.
 	largestTime = 10 * time.Second
 )
--- a/internal/quota/young_test.go
+++ b/internal/quota/young_test.go
@@ -7,9 +7,9 @@
 	"github.com/barleylift/barleylift/internal/mesh"
 )
 
-// Guards against callers that are sent away for ten seconds although their customer is within
-// its rate: a coordinator that has just begun has heard of no VM, and refused all requests with
-// its longest time.
+// Guards against callers that are sent away for ten seconds and more although their customer is
+// within its rate: a coordinator that has just begun has heard of no VM, refused all requests
+// with its longest time, and counted them as promised.
 func TestNewCoordinatorAsksToComeBackSoon(t *testing.T) {
 	customer := Customer{Name: "acme", Rate: 30000, Burst: 30000}
 	ledger := NewLedger(Bounds{Window: 8 * time.Second, Overshoot: 0.1, Slack: 11000}, 1)
