--- a/internal/quota/ledger.go
+++ b/internal/quota/ledger.go
@@ -23,6 +23,9 @@
 	// makes it count; with 100 ms both were refused.
 	youngShare      = 0.5
 	youngRetryAfter = 3 * time.Second
+	// largeShare is a VM's share from which on each of its messages changes the room at
+	// once. With more VMs the room changes little with each, and computing it takes longer.
+	largeShare = 0.01
 	// largestTime is how long the largest cost of a customer counts for its store.
 	largestTime = 10 * time.Second
 )
