--- a/internal/admission/load_test.go
+++ b/internal/admission/load_test.go
@@ -69,7 +69,6 @@
 }
 
 // simulate runs the load through one engine, with or without the gate.
-
 func simulate(load []arrival, gated bool) streamCounts {
 	gate := NewGate()
 	var running []*fakeStream
@@ -279,7 +278,7 @@
 
 // Prompts that arrive while others are prefilled join them as long as all of them fit into
 // the pause objective: at a light load they must not wait for first events.
-func TestPromptsJoinAGo(t *testing.T) {
+func TestPromptsJoinABatch(t *testing.T) {
 	ready := func(topology.Adapter, int64) residency.Status { return residency.Ready }
 	g := gateWithRequests(Request{PromptTokens: 1000, FirstEventDue: time.Second})
 	g.Next(admitAt, slots, ready)
@@ -294,8 +293,8 @@
 	}
 }
 
-// A stalled engine reports nothing. What it is given meanwhile is prefilled in one go once it
-// goes on, so that must stay bounded, also after admissions have expired.
+// A stalled engine reports nothing. What it is given meanwhile is prefilled at once when it
+// continues, so that must stay bounded, also after admissions have expired.
 func TestStalledEngineGetsNoMore(t *testing.T) {
 	ready := func(topology.Adapter, int64) residency.Status { return residency.Ready }
 	for _, tokens := range []int{200, 1000, 3000, 9000} {
--- a/internal/fleet/counted_test.go
+++ b/internal/fleet/counted_test.go
@@ -11,7 +11,7 @@
 )
 
 // Guards against a fleet that is restarted at once and has no entitlement for seconds: each
-// process overwrote the key of the one before it, which told that all VMs count this one.
+// process overwrote the key of the one before it, which said that all VMs count this one.
 func TestProcessInheritsCounted(t *testing.T) {
 	for _, test := range []struct {
 		name   string
--- a/internal/freshness/proof.go
+++ b/internal/freshness/proof.go
@@ -113,7 +113,7 @@
 	return p.holds(now)
 }
 
-// Listed reports whether callers should still be told of this VM: they may use it for a while.
+// Listed reports whether the directory should still name this VM: callers keep its answers for a while.
 // A newer version that is known does not matter: all VMs have it soon after the first one.
 func (p *Proof) Listed(now time.Duration) bool {
 	p.mu.Lock()
--- a/internal/gateway/freshness.go
+++ b/internal/gateway/freshness.go
@@ -112,7 +112,7 @@
 	return min(maxWatchHold, time.Duration(ownProofShare*float64(g.settings.Load().RevocationBound)))
 }
 
-// isListed reports whether callers are told of this VM as far as its proof is concerned.
+// isListed reports whether the directory may name this VM as far as its proof is concerned.
 func (g *Gateway) isListed() bool {
 	if !g.keysNeedProof() {
 		return true
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -77,7 +77,7 @@
 	keysWereUsable atomic.Bool
 	quotas         *quotas
 	// replicaSums is what runs at replicas on all VMs, if this one is a coordinator, and
-	// replicaLoads what coordinators have told this VM of that.
+	// replicaLoads what coordinators have reported of that.
 	replicaSums  *replicaload.Sums
 	replicaLoads replicaload.Known
 	// replicaLoadsKnown is whether the last log line on replicaLoads said that sums are in
--- a/internal/gateway/quota_messages.go
+++ b/internal/gateway/quota_messages.go
@@ -34,7 +34,7 @@
 	g.quotas.returnTokens(customer, cost, decision)
 }
 
-// delegations produces what a coordinator is told of this VM's entitlement.
+// delegations produces the entries about this VM's entitlement for a coordinator.
 func (g *Gateway) delegations(to dissemination.Coordinator) []mesh.Entry {
 	if !g.quotas.inUse() {
 		return nil
@@ -63,7 +63,7 @@
 	g.quotas.mu.Lock()
 	defer g.quotas.mu.Unlock()
 	if g.quotas.ledger.Hear(clock.Boot(), processOf(from), d) {
-		g.quotas.census.HearRevision(from.VM, from.Incarnation, d.Revision)
+		g.quotas.memberCount.HearRevision(from.VM, from.Incarnation, d.Revision)
 	}
 	return nil
 }
@@ -85,7 +85,7 @@
 	}
 	g.quotas.mu.Lock()
 	defer g.quotas.mu.Unlock()
-	state.Confirmed, state.Members = g.quotas.census.Confirmed(now), g.quotas.census.N()
+	state.Confirmed, state.Members = g.quotas.memberCount.Confirmed(now), g.quotas.memberCount.N()
 	return []mesh.Entry{dissemination.NewEntry(dissemination.KindQuotaState, state)}
 }
 
@@ -108,7 +108,7 @@
 	e.HearClock(now, from.Incarnation, time.Duration(state.SentAt)*time.Millisecond)
 	if isSame {
 		asOf := from.AskedAt - time.Duration(state.Age)*time.Millisecond
-		g.quotas.census.RecordCopy(now, asOf)
+		g.quotas.memberCount.RecordCopy(now, asOf)
 		e.RecordProof(now, asOf)
 	}
 	e.Confirm(now, state.Confirmed, state.Members)
@@ -136,7 +136,7 @@
 	}
 	q := g.quotas
 	q.mu.Lock()
-	q.deliver(q.wallet.Grant(clock.Boot(), processOf(from), grant))
+	q.deliver(q.tokenCache.Grant(clock.Boot(), processOf(from), grant))
 	asks := q.step()
 	q.mu.Unlock()
 	q.sendAsks(asks)
--- a/internal/gateway/quota_upkeep.go
+++ b/internal/gateway/quota_upkeep.go
@@ -56,12 +56,12 @@
 		for _, m := range members {
 			list = append(list, quota.Member{VM: m.Name, Incarnation: m.Incarnation, Counted: m.Counted})
 		}
-		q.census.SetMembers(now, list, inUse)
+		q.memberCount.SetMembers(now, list, inUse)
 		q.membersDigest, q.hasMembers = digest, true
 	}
-	q.census.HearRevision(g.settings.Load().VM, g.incarnation, copyRevision)
+	q.memberCount.HearRevision(g.settings.Load().VM, g.incarnation, copyRevision)
 	if asOf != 0 {
-		q.census.RecordCopy(now, asOf)
+		q.memberCount.RecordCopy(now, asOf)
 		if revision != 0 {
 			q.entitlement.RecordProof(now, asOf)
 		}
@@ -121,7 +121,7 @@
 	}
 	for group := range quota.Groups {
 		c, ok := g.coordinators.Of(group)
-		q.wallet.SetCoordinator(now, group, quota.Process{VM: c.VM, Incarnation: c.Incarnation}, ok)
+		q.tokenCache.SetCoordinator(now, group, quota.Process{VM: c.VM, Incarnation: c.Incarnation}, ok)
 		if former := q.targets[group]; former != c.VM {
 			q.targets[group] = c.VM
 			q.log.Info("coordinator of a group of customers has changed", "group", group, "coordinator", c.VM, "former", former)
--- a/internal/gateway/quotas.go
+++ b/internal/gateway/quotas.go
@@ -39,17 +39,17 @@
 	// mu guards the fields below, which are changed by requests, datagrams and timers. It
 	// is held for decisions only.
 	mu          sync.Mutex
-	census      *quota.Census
+	memberCount *quota.MemberCount
 	entitlement *quota.Entitlement
 	ledger      *quota.Ledger
-	wallet      *quota.Wallet
+	tokenCache  *quota.TokenCache
 	// table is the one whose customers are set, and ids those with a limit by their names.
 	table *routing.Table
 	ids   map[string]uint64
 	// waiting are the requests without a decision.
 	waiting map[uint64]chan quota.Decision
 	lastID  uint64
-	// dueAt is when the wallet is due, by clock.Boot; 0 for never.
+	// dueAt is when the tokenCache is due, by clock.Boot; 0 for never.
 	dueAt time.Duration
 	// membersDigest is that of the members last set, and hasMembers is set once there are any.
 	membersDigest uint64
@@ -71,12 +71,12 @@
 		Overshoot: cmp.Or(s.QuotaOvershoot, defaultQuotaOvershoot),
 		Slack:     cmp.Or(s.QuotaSlack, defaultQuotaSlack),
 	}
-	census := quota.NewCensus(s.VM)
-	entitlement := quota.NewEntitlement(census)
+	memberCount := quota.NewMemberCount(s.VM)
+	entitlement := quota.NewEntitlement(memberCount)
 	return &quotas{
 		meters: meters, log: log.With("part", "quotas"), wake: make(chan struct{}, 1),
-		census: census, entitlement: entitlement,
-		ledger: quota.NewLedger(bounds, incarnation), wallet: quota.NewWallet(bounds, entitlement),
+		memberCount: memberCount, entitlement: entitlement,
+		ledger: quota.NewLedger(bounds, incarnation), tokenCache: quota.NewTokenCache(bounds, entitlement),
 		waiting: make(map[uint64]chan quota.Decision),
 	}
 }
@@ -100,7 +100,7 @@
 			q.ids[c.Name] = limited.ID()
 		}
 	}
-	q.wallet.SetCustomers(customers)
+	q.tokenCache.SetCustomers(customers)
 	q.ledger.SetCustomers(clock.Boot(), customers)
 	q.meters.SetCustomers(names)
 }
@@ -138,7 +138,7 @@
 	}
 	q.lastID++
 	request := quota.Request{ID: q.lastID, Customer: id, Cost: cost, Priority: priority}
-	decision := q.wallet.Request(clock.Boot(), request)
+	decision := q.tokenCache.Request(clock.Boot(), request)
 	var decided chan quota.Decision
 	if decision.Outcome == quota.Waiting {
 		decided = make(chan quota.Decision, 1)
@@ -166,7 +166,7 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	delete(q.waiting, request.ID)
-	q.wallet.Cancel(request.Customer, request.ID)
+	q.tokenCache.Cancel(request.Customer, request.ID)
 	select {
 	case decision := <-decided:
 		return decision
@@ -180,13 +180,13 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	if id, limited := q.ids[customer]; limited {
-		q.wallet.Return(clock.Boot(), id, cost, decision)
+		q.tokenCache.Return(clock.Boot(), id, cost, decision)
 	}
 }
 
-// step lets the wallet do what is due, and returns the asks to send. The caller holds mu.
+// step lets the tokenCache do what is due, and returns the asks to send. The caller holds mu.
 func (q *quotas) step() []quota.SentAsk {
-	asks, decisions, next := q.wallet.Tick(clock.Boot())
+	asks, decisions, next := q.tokenCache.Tick(clock.Boot())
 	q.deliver(decisions)
 	if next != 0 && (q.dueAt == 0 || next < q.dueAt) {
 		select {
@@ -214,7 +214,7 @@
 	}
 }
 
-// run steps the wallet when it is due, until ctx ends.
+// run steps the tokenCache when it is due, until ctx ends.
 func (q *quotas) run(ctx context.Context) {
 	timer := time.NewTimer(0)
 	defer timer.Stop()
--- a/internal/promise/faults_test.go
+++ b/internal/promise/faults_test.go
@@ -420,7 +420,7 @@
 	{"engines crash on a prompt part", "503 at once for requests with the part, answers for others", "TestRequestsWithCrashingPromptPartStopReachingEngines"},
 	{"engines crash under a request that comes again", "503 at once for the request, answers for others", "TestRepeatedRequestThatCrashesEnginesStopsReachingThem"},
 	{"the store turns a VM away and serves the others", "answers; once there is a configuration that the VM can't read, answers through other VMs", "TestVMTurnedAwayByTheStoreServesByProofsOfOthers"},
-	{"a VM is cut off from the store and all other VMs, where API keys are required and `revoke_strict` is set", "503 within the bound", "TestVMCutOffFromAllStopsWithinTheBound"},
+	{"a VM is cut off from the store and all other VMs, where API keys are required and removals of keys are strict", "503 within the bound", "TestVMCutOffFromAllStopsWithinTheBound"},
 	{"the store turns all VMs away, in such a deployment", "503 within the bound", "TestVMsWithoutProofsStopWithinTheBound"},
 	{"a VM starts without the store, in such a deployment", "503 until its first proof", "TestRestartedVMServesNothingBeforeItsFirstProof"},
 	{"a VM loses its links to all upstreams", "answers through other VMs", "TestCallersOfVMsCutOffFromEnginesAreServed"},
--- a/internal/quota/account.go
+++ b/internal/quota/account.go
@@ -6,24 +6,24 @@
 	"time"
 )
 
-// lot is an amount of tokens that expires.
-type lot struct {
+// tokenGrant is an amount of tokens that expires.
+type tokenGrant struct {
 	tokens    int64
 	expiresAt time.Duration
 }
 
-// account is what a VM's Wallet holds of one customer.
+// account is what a VM's TokenCache holds of one customer.
 type account struct {
 	Customer
 	id uint64
-	// lots are the tokens, those that expire first at the front.
-	lots []lot
+	// grants are the tokens, those that expire first at the front.
+	grants []tokenGrant
 	// waiting are the requests that wait, the most urgent first and then by arrival.
 	waiting []Request
 	demand  demand
 	seen    Seen
 	// Until refusedUntil requests of refusedPriority and of less urgent ones are refused by
-	// the answer that arrived at refusedAt and told retryAfter.
+	// the answer that arrived at refusedAt with retryAfter.
 	refusedUntil    time.Duration
 	refusedPriority int
 	refusedAt       time.Duration
@@ -41,19 +41,19 @@
 	if tokens <= 0 || now >= expiresAt {
 		return
 	}
-	i := sort.Search(len(a.lots), func(i int) bool { return a.lots[i].expiresAt > expiresAt })
-	a.lots = slices.Insert(a.lots, i, lot{tokens, expiresAt})
+	i := sort.Search(len(a.grants), func(i int) bool { return a.grants[i].expiresAt > expiresAt })
+	a.grants = slices.Insert(a.grants, i, tokenGrant{tokens, expiresAt})
 }
 
 // balance returns the tokens that have not expired.
 func (a *account) balance(now time.Duration) int64 {
 	expired := 0
-	for expired < len(a.lots) && now >= a.lots[expired].expiresAt {
+	for expired < len(a.grants) && now >= a.grants[expired].expiresAt {
 		expired++
 	}
-	a.lots = slices.Delete(a.lots, 0, expired)
+	a.grants = slices.Delete(a.grants, 0, expired)
 	sum := int64(0)
-	for _, l := range a.lots {
+	for _, l := range a.grants {
 		sum += l.tokens
 	}
 	return sum
@@ -61,18 +61,18 @@
 
 // take takes tokens, those that expire first, and returns when the first of them expire.
 func (a *account) take(now time.Duration, cost int64) (expiresAt time.Duration, ok bool) {
-	if a.balance(now) < cost || cost > 0 && len(a.lots) == 0 {
+	if a.balance(now) < cost || cost > 0 && len(a.grants) == 0 {
 		return 0, false
 	}
-	if len(a.lots) > 0 {
-		expiresAt = a.lots[0].expiresAt
+	if len(a.grants) > 0 {
+		expiresAt = a.grants[0].expiresAt
 	}
 	for cost > 0 {
-		part := min(cost, a.lots[0].tokens)
+		part := min(cost, a.grants[0].tokens)
 		cost -= part
-		a.lots[0].tokens -= part
-		if a.lots[0].tokens == 0 {
-			a.lots = slices.Delete(a.lots, 0, 1)
+		a.grants[0].tokens -= part
+		if a.grants[0].tokens == 0 {
+			a.grants = slices.Delete(a.grants, 0, 1)
 		}
 	}
 	return expiresAt, true
--- a/internal/quota/doc.go
+++ b/internal/quota/doc.go
@@ -1,8 +1,8 @@
 // Package quota bounds what each customer uses over all VMs together, in tokens or requests.
 //
-// Each VM is entitled to an equal share of each customer's rate (Census, Entitlement). It
+// Each VM is entitled to an equal share of each customer's rate (MemberCount, Entitlement). It
 // delegates that share to the coordinator of the customer's group, whose Ledger keeps the
-// customers' token buckets and grants tokens to the VMs that ask for them. A VM's Wallet holds
+// customers' token buckets and grants tokens to the VMs that ask for them. A VM's TokenCache holds
 // the granted tokens until they expire and the requests that wait for tokens. While no
 // coordinator answers, a VM spends its own share.
 //
--- a/internal/quota/entitlement.go
+++ b/internal/quota/entitlement.go
@@ -28,7 +28,7 @@
 // Entitlement is what one VM may spend or delegate: 1/N of each customer's rate. It is spent
 // at most once, because the time of each group goes to one target only.
 type Entitlement struct {
-	census *Census
+	memberCount *MemberCount
 	// ownSeenAt is when the own member key was seen, and ownRevision its revision then; 0
 	// while there is none.
 	ownSeenAt   time.Duration
@@ -73,8 +73,8 @@
 }
 
 // NewEntitlement returns the Entitlement of a VM that has not seen any members.
-func NewEntitlement(census *Census) *Entitlement {
-	e := &Entitlement{census: census, clocks: make(map[int64]clockOffset)}
+func NewEntitlement(memberCount *MemberCount) *Entitlement {
+	e := &Entitlement{memberCount: memberCount, clocks: make(map[int64]clockOffset)}
 	for g := range e.groups {
 		e.groups[g].totals = make(map[int64]float64)
 	}
@@ -90,7 +90,7 @@
 	e.hasRead = true
 	if revision != 0 && isFirstRead && counted > 0 {
 		e.wasCounted = true
-		e.census.setFloor(now, counted)
+		e.memberCount.setFloor(now, counted)
 	}
 	if revision != 0 && inUse && e.ownSeenAt == 0 && e.isProven(now) {
 		e.ownSeenAt, e.ownRevision = now, revision
@@ -108,9 +108,9 @@
 // and there are n of them.
 func (e *Entitlement) Confirm(now time.Duration, revision int64, n int) {
 	e.Advance(now)
-	if e.hasRead && e.census.copyAt < e.census.firstReadAt+departureDelay {
+	if e.hasRead && e.memberCount.copyAt < e.memberCount.firstReadAt+departureDelay {
 		// The own copy of the service has never shown the VMs that had just gone.
-		e.census.setFloor(now, n)
+		e.memberCount.setFloor(now, n)
 	}
 	if e.isStarted || e.ownSeenAt == 0 || !e.isProven(now) || now-e.ownSeenAt < minJoinDelay || revision < e.ownRevision {
 		return
@@ -134,7 +134,7 @@
 
 // N returns the number of VMs that share each customer's rate, as this VM counts them.
 func (e *Entitlement) N() int {
-	return e.census.N()
+	return e.memberCount.N()
 }
 
 // isProven reports whether the service is known to have held the own member key lately.
@@ -147,7 +147,7 @@
 	if !e.isStarted {
 		return 0
 	}
-	return 1 / float64(max(e.census.N(), 1))
+	return 1 / float64(max(e.memberCount.N(), 1))
 }
 
 // Advance accrues entitlement up to now.
@@ -217,7 +217,7 @@
 	a.recent = kept
 }
 
-// Delegation returns what to tell a coordinator about a group. It is told while the
+// Delegation returns the message to a coordinator about a group. It is sent while the
 // entitlement goes elsewhere too, so that it knows the total when it becomes the target.
 func (e *Entitlement) Delegation(now time.Duration, group int, to int64) mesh.Delegation {
 	e.Advance(now)
--- a/internal/quota/entitlement_test.go
+++ b/internal/quota/entitlement_test.go
@@ -17,8 +17,8 @@
 // counts the others long enough.
 func TestEntitlementBeginsAndEnds(t *testing.T) {
 	start := time.Hour
-	newVM := func(counted int) (*Entitlement, *Census) {
-		c := NewCensus("a")
+	newVM := func(counted int) (*Entitlement, *MemberCount) {
+		c := NewMemberCount("a")
 		c.SetMembers(start, []Member{{VM: "a", Counted: counted}, {VM: "b"}}, true)
 		e := NewEntitlement(c)
 		e.RecordProof(start, start)
@@ -96,7 +96,7 @@
 // gone lately, nor those that had gone before the coordinator itself began.
 func TestRevisionIsConfirmedByAll(t *testing.T) {
 	now := time.Hour
-	c := NewCensus("a")
+	c := NewMemberCount("a")
 	c.SetMembers(now, membersOf("a", "b"), false)
 	c.HearRevision("a", 1, 8)
 	if got := c.Confirmed(now); got != 0 {
@@ -117,7 +117,7 @@
 	if got := c.Confirmed(now + departureDelay); got != 9 {
 		t.Errorf("confirmed %d, want 9 after it can't be entitled any more", got)
 	}
-	restarted := NewCensus("a")
+	restarted := NewMemberCount("a")
 	restarted.SetMembers(now, []Member{{VM: "a", Counted: 2}}, true)
 	restarted.HearRevision("a", 2, 9)
 	if got := restarted.Confirmed(now); got != 0 {
@@ -129,7 +129,7 @@
 // coordinator's process remembers them.
 func TestEntitlementIsDelegatedOnce(t *testing.T) {
 	now := time.Hour
-	c := NewCensus("a")
+	c := NewMemberCount("a")
 	c.SetMembers(now, []Member{{VM: "a", Counted: 1}}, true)
 	e := NewEntitlement(c)
 	e.RecordProof(now, now+time.Minute)
--- a/internal/quota/ledger.go
+++ b/internal/quota/ledger.go
@@ -36,8 +36,8 @@
 	level float64
 	// credit is that of the group when the level was last updated.
 	credit float64
-	// promised is the sum of the tokens refused lately that callers were told to come back
-	// for, less what has accrued since.
+	// promised is the sum of the tokens refused lately whose callers got a time to come
+	// back, less what has accrued since.
 	promised float64
 	// largest is the largest cost asked for until largestUntil.
 	largest      float64
--- a/internal/quota/census.go
+++ b/internal/quota/member_count.go
@@ -27,18 +27,18 @@
 	Counted int
 }
 
-// memberState is what a Census knows of one VM.
+// memberState is what a MemberCount knows of one VM.
 type memberState struct {
 	// goneAt is when its key was first found absent; 0 while it is present.
 	goneAt time.Duration
-	// incarnation and revision are what the VM last told of its copy of the service.
+	// incarnation and revision are what the VM last reported of its copy of the service.
 	incarnation int64
 	revision    int64
 }
 
-// Census counts the VMs that may be entitled, and knows up to which revision of the key-value
-// service all of them have told to count.
-type Census struct {
+// MemberCount counts the VMs that may be entitled, and knows up to which revision of the key-value
+// service the copies of all of them are complete, as they report.
+type MemberCount struct {
 	self    string
 	members map[string]*memberState
 	// copyAt is the moment as of which the copy of the service is complete. What ends with
@@ -59,15 +59,15 @@
 	confirmedAt time.Duration
 }
 
-// NewCensus returns a Census of the VM that has not seen any members.
-func NewCensus(self string) *Census {
-	return &Census{self: self, members: make(map[string]*memberState)}
+// NewMemberCount returns a MemberCount of the VM that has not seen any members.
+func NewMemberCount(self string) *MemberCount {
+	return &MemberCount{self: self, members: make(map[string]*memberState)}
 }
 
 // RecordCopy records as of when the copy of the service is complete. It is called after the
 // members of that copy were set. After a gap in which a VM may have come, begun and gone, this VM
 // knows no more of former members than a new one.
-func (c *Census) RecordCopy(now, asOf time.Duration) {
+func (c *MemberCount) RecordCopy(now, asOf time.Duration) {
 	if c.hasRead && c.copyAt != 0 && asOf-c.copyAt > proofValidity {
 		c.firstReadAt, c.knowsFormer = now, false
 	}
@@ -76,7 +76,7 @@
 
 // SetMembers replaces the members that have a key. inUse is set if a VM may be entitled, or have
 // been, according to the copy.
-func (c *Census) SetMembers(now time.Duration, members []Member, inUse bool) {
+func (c *MemberCount) SetMembers(now time.Duration, members []Member, inUse bool) {
 	present := make(map[string]bool, len(members))
 	for _, m := range members {
 		present[m.VM] = true
@@ -102,7 +102,7 @@
 }
 
 // expire drops the members that have gone for long enough.
-func (c *Census) expire() {
+func (c *MemberCount) expire() {
 	if c.expiresAt == 0 || c.copyAt < c.expiresAt {
 		return
 	}
@@ -121,7 +121,7 @@
 }
 
 // N returns the number of VMs that share each customer's rate.
-func (c *Census) N() int {
+func (c *MemberCount) N() int {
 	c.expire()
 	if c.copyAt < c.floorUntil {
 		return max(len(c.members), c.floor)
@@ -131,13 +131,13 @@
 
 // setFloor makes N at least n until VMs that the own copy of the service has never shown are
 // no longer entitled.
-func (c *Census) setFloor(now time.Duration, n int) {
+func (c *MemberCount) setFloor(now time.Duration, n int) {
 	c.floor = max(c.floor, n)
 	c.floorUntil = max(c.floorUntil, now+departureDelay)
 }
 
 // HearRevision records the revision up to which a VM's copy of the service is complete.
-func (c *Census) HearRevision(vm string, incarnation, revision int64) {
+func (c *MemberCount) HearRevision(vm string, incarnation, revision int64) {
 	state := c.members[vm]
 	if state == nil {
 		return
@@ -153,7 +153,7 @@
 
 // Confirmed returns the revision up to which the copies of all VMs that may be entitled are
 // complete; 0 if that is unknown.
-func (c *Census) Confirmed(now time.Duration) int64 {
+func (c *MemberCount) Confirmed(now time.Duration) int64 {
 	if !c.hasRead || !c.knowsFormer && c.copyAt < c.firstReadAt+departureDelay {
 		return 0
 	}
@@ -164,7 +164,7 @@
 	return c.confirmed
 }
 
-func (c *Census) lowestRevision() int64 {
+func (c *MemberCount) lowestRevision() int64 {
 	lowest, isFirst := int64(0), true
 	for _, state := range c.members {
 		if isFirst || state.revision < lowest {
--- a/internal/quota/sim_test.go
+++ b/internal/quota/sim_test.go
@@ -99,10 +99,10 @@
 	side  int
 	kvCut bool
 
-	census      *Census
+	memberCount *MemberCount
 	entitlement *Entitlement
 	ledger      *Ledger
-	wallet      *Wallet
+	tokenCache  *TokenCache
 	coords      *dissemination.Coordinators
 	copy        snapshot
 	copiedAt    time.Duration
@@ -180,12 +180,12 @@
 	s := vm.sim
 	vm.alive, vm.frozen, vm.backlog = true, false, nil
 	vm.incarnation = s.random.Int64N(1 << 50)
-	vm.census = NewCensus(vm.name)
-	vm.entitlement = NewEntitlement(vm.census)
+	vm.memberCount = NewMemberCount(vm.name)
+	vm.entitlement = NewEntitlement(vm.memberCount)
 	vm.ledger = NewLedger(testBounds, vm.incarnation)
 	vm.ledger.SetCustomers(vm.now(), s.customers)
-	vm.wallet = NewWallet(testBounds, vm.entitlement)
-	vm.wallet.SetCustomers(s.customers)
+	vm.tokenCache = NewTokenCache(testBounds, vm.entitlement)
+	vm.tokenCache.SetCustomers(s.customers)
 	vm.coords = dissemination.NewCoordinators(vm.name)
 	vm.copy, vm.copiedAt, vm.announced = snapshot{}, 0, 0
 	vm.requests = make(map[uint64]func(Decision))
@@ -300,11 +300,11 @@
 	now := vm.now()
 	vm.entitlement.Advance(now)
 	if vm.copy.byName == nil || vm.copy.revision != copied.revision {
-		vm.census.SetMembers(now, copied.members, copied.inUse)
+		vm.memberCount.SetMembers(now, copied.members, copied.inUse)
 	}
 	vm.copy = copied
-	vm.census.RecordCopy(now, vm.copiedAt)
-	vm.census.HearRevision(vm.name, vm.incarnation, copied.revision)
+	vm.memberCount.RecordCopy(now, vm.copiedAt)
+	vm.memberCount.HearRevision(vm.name, vm.incarnation, copied.revision)
 	own, ok := copied.byName[vm.name]
 	if ok {
 		vm.entitlement.RecordProof(now, vm.copiedAt)
@@ -318,7 +318,7 @@
 	asks := vm.coords.Next(now, vm.copy.ranked, nil, nil)
 	for g := range Groups {
 		c, ok := vm.coords.Of(g)
-		vm.wallet.SetCoordinator(now, g, Process{c.VM, c.Incarnation}, ok)
+		vm.tokenCache.SetCoordinator(now, g, Process{c.VM, c.Incarnation}, ok)
 	}
 	for _, ask := range asks {
 		if ask.FreshnessOnly {
@@ -342,10 +342,10 @@
 	now := vm.now()
 	for _, d := range delegations {
 		if vm.ledger.Hear(now, from, d) {
-			vm.census.HearRevision(from.VM, from.Incarnation, d.Revision)
+			vm.memberCount.HearRevision(from.VM, from.Incarnation, d.Revision)
 		}
 	}
-	state := mesh.QuotaState{SentAt: now.Milliseconds(), Confirmed: vm.census.Confirmed(now), Members: vm.census.N()}
+	state := mesh.QuotaState{SentAt: now.Milliseconds(), Confirmed: vm.memberCount.Confirmed(now), Members: vm.memberCount.N()}
 	incarnation := vm.incarnation
 	vm.send(from.VM, func(to *simVM) {
 		if to.incarnation != from.Incarnation || !to.coords.RecordReply(to.now(), vm.name, askedAt) {
@@ -385,10 +385,10 @@
 	}
 }
 
-// tick sends the wallet's asks.
+// tick sends the tokenCache's asks.
 func (vm *simVM) tick() {
 	now := vm.now()
-	asks, decisions, next := vm.wallet.Tick(now)
+	asks, decisions, next := vm.tokenCache.Tick(now)
 	vm.record(decisions)
 	for _, ask := range asks {
 		from := vm.process()
@@ -408,12 +408,12 @@
 	}
 	by := vm.process()
 	vm.send(from.VM, func(to *simVM) {
-		to.record(to.wallet.Grant(to.now(), by, grant))
+		to.record(to.tokenCache.Grant(to.now(), by, grant))
 		to.tick()
 	})
 }
 
-// request lets a customer send a request to the VM. Its caller comes back when it is told to,
+// request lets a customer send a request to the VM. Its caller comes back after the stated time,
 // a few times.
 func (vm *simVM) request(c Customer, cost int64, tries int) {
 	if !vm.alive || vm.frozen {
@@ -427,7 +427,7 @@
 		}
 		vm.recordOne(r, d)
 	}
-	vm.record([]Decision{vm.wallet.Request(vm.now(), r)})
+	vm.record([]Decision{vm.tokenCache.Request(vm.now(), r)})
 	vm.tick()
 }
 
@@ -449,7 +449,7 @@
 	case s.random.Float64() < s.returned:
 		incarnation := vm.incarnation
 		s.after(s.between(0, 700*time.Millisecond), func() {
-			vm.do(incarnation, func() { vm.wallet.Return(vm.now(), r.Customer, r.Cost, d) })
+			vm.do(incarnation, func() { vm.tokenCache.Return(vm.now(), r.Customer, r.Cost, d) })
 		})
 	default:
 		s.used[r.Customer] = append(s.used[r.Customer], usage{s.now, r.Cost})
@@ -539,7 +539,7 @@
 	vm.ledger.refresh(now, group)
 	b := vm.ledger.buckets[group][id]
 	vm.ledger.update(now, group, b)
-	a := vm.wallet.accounts[id]
-	vm.wallet.updateOwn(now, a, 0)
+	a := vm.tokenCache.accounts[id]
+	vm.tokenCache.updateOwn(now, a, 0)
 	return max(b.level, 0) + max(a.own, 0), b.largest
 }
--- a/internal/quota/wallet.go
+++ b/internal/quota/token_cache.go
@@ -105,8 +105,8 @@
 	requests map[uint64][]uint64
 }
 
-// walletGroup is the state of one group of customers.
-type walletGroup struct {
+// cacheGroup is the state of one group of customers.
+type cacheGroup struct {
 	coordinator    Process
 	hasCoordinator bool
 	seq            uint64
@@ -117,25 +117,25 @@
 	next uint64
 }
 
-// Wallet holds one VM's tokens and the requests that wait for some.
-type Wallet struct {
+// TokenCache holds one VM's tokens and the requests that wait for some.
+type TokenCache struct {
 	bounds      Bounds
 	entitlement *Entitlement
-	groups      [Groups]walletGroup
+	groups      [Groups]cacheGroup
 	accounts    map[uint64]*account
 	// active are the customers with requests of the last while, in the order of their IDs.
 	active []*account
 	random uint64
 }
 
-// NewWallet returns a Wallet without customers and coordinators.
-func NewWallet(bounds Bounds, entitlement *Entitlement) *Wallet {
-	return &Wallet{bounds: bounds, entitlement: entitlement, accounts: make(map[uint64]*account), random: 1}
+// NewTokenCache returns a TokenCache without customers and coordinators.
+func NewTokenCache(bounds Bounds, entitlement *Entitlement) *TokenCache {
+	return &TokenCache{bounds: bounds, entitlement: entitlement, accounts: make(map[uint64]*account), random: 1}
 }
 
 // SetCustomers replaces the customers with a limit. Requests of others that wait are decided
 // with the next Tick.
-func (w *Wallet) SetCustomers(customers []Customer) {
+func (w *TokenCache) SetCustomers(customers []Customer) {
 	accounts := make(map[uint64]*account, len(customers))
 	for _, c := range customers {
 		a := w.accounts[c.ID()]
@@ -149,7 +149,7 @@
 }
 
 // SetCoordinator sets the coordinator of a group; false for none.
-func (w *Wallet) SetCoordinator(now time.Duration, group int, coordinator Process, ok bool) {
+func (w *TokenCache) SetCoordinator(now time.Duration, group int, coordinator Process, ok bool) {
 	g := &w.groups[group]
 	if g.hasCoordinator == ok && g.coordinator == coordinator {
 		return
@@ -168,7 +168,7 @@
 
 // Request decides on a request, or lets it wait until a later decision. Customers without a
 // limit are admitted.
-func (w *Wallet) Request(now time.Duration, r Request) Decision {
+func (w *TokenCache) Request(now time.Duration, r Request) Decision {
 	a := w.accounts[r.Customer]
 	if a == nil {
 		return Decision{ID: r.ID, Outcome: Admitted}
@@ -195,7 +195,7 @@
 }
 
 // activate adds an account to active.
-func (w *Wallet) activate(a *account) {
+func (w *TokenCache) activate(a *account) {
 	i, _ := slices.BinarySearchFunc(w.active, a.id, func(b *account, id uint64) int { return cmp.Compare(b.id, id) })
 	if i < len(w.active) && w.active[i] == a {
 		return
@@ -204,14 +204,14 @@
 }
 
 // Cancel withdraws a request that waits.
-func (w *Wallet) Cancel(customer, id uint64) {
+func (w *TokenCache) Cancel(customer, id uint64) {
 	if a := w.accounts[customer]; a != nil {
 		a.remove(id)
 	}
 }
 
 // Return gives back the tokens of a request that was admitted and has not run.
-func (w *Wallet) Return(now time.Duration, customer uint64, cost int64, d Decision) {
+func (w *TokenCache) Return(now time.Duration, customer uint64, cost int64, d Decision) {
 	a := w.accounts[customer]
 	switch {
 	case a == nil:
@@ -224,7 +224,7 @@
 
 // Grant handles an answer to an ask and returns the requests that it decides. Answers to asks
 // that are unknown or older than the validity of tokens are dropped.
-func (w *Wallet) Grant(now time.Duration, from Process, grant mesh.QuotaGrant) []Decision {
+func (w *TokenCache) Grant(now time.Duration, from Process, grant mesh.QuotaGrant) []Decision {
 	if grant.Group < 0 || grant.Group >= Groups {
 		return nil
 	}
@@ -245,7 +245,7 @@
 }
 
 // answered removes and returns the ask with the number that was sent to the process, or nil.
-func (g *walletGroup) answered(from Process, seq uint64) *pendingAsk {
+func (g *cacheGroup) answered(from Process, seq uint64) *pendingAsk {
 	if p := g.current; p != nil && p.ask.Seq == seq && p.to == from {
 		g.current = nil
 		return p
@@ -260,7 +260,7 @@
 }
 
 // apply adds granted tokens to an account and decides on its requests.
-func (w *Wallet) apply(now time.Duration, a *account, p *pendingAsk, need mesh.QuotaNeed, granted mesh.QuotaGrantedNeed) []Decision {
+func (w *TokenCache) apply(now time.Duration, a *account, p *pendingAsk, need mesh.QuotaNeed, granted mesh.QuotaGrantedNeed) []Decision {
 	a.seen = Seen{By: p.to.VM, Level: granted.Level, At: now}
 	admitted := min(max(granted.Admitted, 0), len(need.Costs))
 	tokens := max(granted.Extra, 0)
@@ -289,7 +289,7 @@
 }
 
 // refuseFrom refuses the requests of an account that are not before the i-th.
-func (w *Wallet) refuseFrom(now time.Duration, a *account, i int, retryAfter time.Duration) []Decision {
+func (w *TokenCache) refuseFrom(now time.Duration, a *account, i int, retryAfter time.Duration) []Decision {
 	a.refusedPriority = a.waiting[i].Priority
 	a.refusedAt, a.retryAfter = now, retryAfter
 	a.refusedUntil = now + min(max(retryAfter, minRefusalTime), maxRefusalTime)
@@ -303,7 +303,7 @@
 
 // refuse refuses a request by the last answer. The times to come back are spread over half of
 // the time that the answer tells.
-func (w *Wallet) refuse(now time.Duration, a *account, r Request) Decision {
+func (w *TokenCache) refuse(now time.Duration, a *account, r Request) Decision {
 	w.random = w.random*6364136223846793005 + 1442695040888963407
 	spread := float64(w.random>>40) / (1 << 24) / 2
 	left := max(a.refusedAt+a.retryAfter-now, minRetryAfter)
--- a/internal/quota/wallet_ask.go
+++ b/internal/quota/token_cache_ask.go
@@ -9,7 +9,7 @@
 
 // Tick decides on requests that have waited for too long and returns the asks to send. It is
 // called after requests and grants, and at the returned time, which is 0 if nothing is due.
-func (w *Wallet) Tick(now time.Duration) (asks []SentAsk, decisions []Decision, next time.Duration) {
+func (w *TokenCache) Tick(now time.Duration) (asks []SentAsk, decisions []Decision, next time.Duration) {
 	due := func(at time.Duration) {
 		if next == 0 || at < next {
 			next = at
@@ -51,7 +51,7 @@
 
 // endWaits decides on the requests of an account that have waited for too long, and on all if
 // it has no limit any more.
-func (w *Wallet) endWaits(now time.Duration, a *account) []Decision {
+func (w *TokenCache) endWaits(now time.Duration, a *account) []Decision {
 	var decisions []Decision
 	hasLimit := w.accounts[a.id] == a
 	isAlone := !w.groups[GroupOf(a.id)].hasCoordinator
@@ -76,7 +76,7 @@
 }
 
 // step returns the ask that a group sends now: the one in flight again, or a new one.
-func (w *Wallet) step(now time.Duration, group int) (SentAsk, bool) {
+func (w *TokenCache) step(now time.Duration, group int) (SentAsk, bool) {
 	g := &w.groups[group]
 	validity := w.bounds.TokenValidity()
 	g.former = slices.DeleteFunc(g.former, func(p *pendingAsk) bool { return now-p.firstAt >= validity })
@@ -115,7 +115,7 @@
 }
 
 // turn returns the active accounts of a group, beginning after the one asked for last.
-func (w *Wallet) turn(group int) []*account {
+func (w *TokenCache) turn(group int) []*account {
 	next := w.groups[group].next
 	var before, after []*account
 	for _, a := range w.active {
@@ -156,7 +156,7 @@
 }
 
 // takeOwn takes tokens of the VM's own entitlement, if it covers the whole cost.
-func (w *Wallet) takeOwn(now time.Duration, a *account, cost int64) bool {
+func (w *TokenCache) takeOwn(now time.Duration, a *account, cost int64) bool {
 	w.updateOwn(now, a, cost)
 	if a.own < float64(cost) {
 		return false
@@ -165,14 +165,14 @@
 	return true
 }
 
-func (w *Wallet) returnOwn(now time.Duration, a *account, cost int64) {
+func (w *TokenCache) returnOwn(now time.Duration, a *account, cost int64) {
 	a.own += float64(cost)
 	w.updateOwn(now, a, cost)
 }
 
 // updateOwn accrues the VM's own entitlement to a customer, which is only there while it isn't
 // delegated.
-func (w *Wallet) updateOwn(now time.Duration, a *account, cost int64) {
+func (w *TokenCache) updateOwn(now time.Duration, a *account, cost int64) {
 	l := w.entitlement.local(now, GroupOf(a.id))
 	if l.epoch != a.ownEpoch {
 		a.own, a.ownSum, a.ownEpoch = 0, 0, l.epoch
--- a/internal/quota/wallet_test.go
+++ b/internal/quota/token_cache_test.go
@@ -7,10 +7,10 @@
 	"github.com/barleylift/barleylift/internal/mesh"
 )
 
-// purse is a Wallet with one customer of 1,000 tokens a second.
-type purse struct {
+// cacheFixture is a TokenCache with one customer of 1,000 tokens a second.
+type cacheFixture struct {
 	t        *testing.T
-	w        *Wallet
+	w        *TokenCache
 	e        *Entitlement
 	now      time.Duration
 	customer Customer
@@ -19,27 +19,27 @@
 
 var coordinator = Process{"vm-0", 9}
 
-func newPurse(t *testing.T, hasCoordinator bool) *purse {
-	census := NewCensus("vm-1")
-	p := &purse{t: t, e: NewEntitlement(census), now: time.Hour, customer: Customer{Name: "c", Rate: 1000, Burst: 1000}}
-	census.SetMembers(p.now, []Member{{VM: "vm-1", Counted: 1}}, true)
+func newCacheFixture(t *testing.T, hasCoordinator bool) *cacheFixture {
+	memberCount := NewMemberCount("vm-1")
+	p := &cacheFixture{t: t, e: NewEntitlement(memberCount), now: time.Hour, customer: Customer{Name: "c", Rate: 1000, Burst: 1000}}
+	memberCount.SetMembers(p.now, []Member{{VM: "vm-1", Counted: 1}}, true)
 	p.e.RecordProof(p.now, p.now)
 	p.e.SetOwnKey(p.now, 1, 1, true)
-	p.w = NewWallet(testBounds, p.e)
+	p.w = NewTokenCache(testBounds, p.e)
 	p.w.SetCustomers([]Customer{p.customer})
 	p.w.SetCoordinator(p.now, p.group(), coordinator, hasCoordinator)
 	return p
 }
 
-func (p *purse) group() int { return GroupOf(p.customer.ID()) }
+func (p *cacheFixture) group() int { return GroupOf(p.customer.ID()) }
 
-func (p *purse) request(cost int64, priority int) Decision {
+func (p *cacheFixture) request(cost int64, priority int) Decision {
 	p.next++
 	return p.w.Request(p.now, Request{ID: p.next, Customer: p.customer.ID(), Cost: cost, Priority: priority})
 }
 
 // asks returns the asks that are sent now.
-func (p *purse) asks() []SentAsk {
+func (p *cacheFixture) asks() []SentAsk {
 	asks, decisions, _ := p.w.Tick(p.now)
 	if len(decisions) > 0 {
 		p.t.Fatalf("unexpected decisions %+v", decisions)
@@ -47,7 +47,7 @@
 	return asks
 }
 
-func (p *purse) grant(seq uint64, admitted int, extra, retryAfter int64) []Decision {
+func (p *cacheFixture) grant(seq uint64, admitted int, extra, retryAfter int64) []Decision {
 	return p.w.Grant(p.now, coordinator, mesh.QuotaGrant{Seq: seq, Group: p.group(), Grants: []mesh.QuotaGrantedNeed{
 		{Customer: p.customer.ID(), Admitted: admitted, Extra: extra, RetryAfter: retryAfter},
 	}})
@@ -56,7 +56,7 @@
 // A lost ask or grant must be repeated with the same number, and given up after a while for a
 // new one, so that the coordinator takes the tokens once.
 func TestAsksAreRepeatedAndGivenUp(t *testing.T) {
-	p := newPurse(t, true)
+	p := newCacheFixture(t, true)
 	p.request(100, 0)
 	first := p.asks()
 	if len(first) != 1 || len(p.asks()) != 0 {
@@ -82,14 +82,14 @@
 // A grant that comes after the validity of tokens, as after a freeze, must be dropped, and
 // tokens must expire: both would add to another window.
 func TestTokensExpire(t *testing.T) {
-	p := newPurse(t, true)
+	p := newCacheFixture(t, true)
 	p.request(100, 0)
 	seq := p.asks()[0].Ask.Seq
 	p.now += testBounds.TokenValidity()
 	if d := p.grant(seq, 1, 1000, 0); len(d) != 0 || p.w.accounts[p.customer.ID()].balance(p.now) != 0 {
 		t.Errorf("a late grant was taken: %+v", d)
 	}
-	p = newPurse(t, true)
+	p = newCacheFixture(t, true)
 	p.request(100, 0)
 	p.grant(p.asks()[0].Ask.Seq, 1, 1000, 0)
 	if d := p.request(100, 0); d.Outcome != Admitted {
@@ -103,7 +103,7 @@
 
 // Tokens of a request that has not run must be usable again, but no longer than before.
 func TestReturnedTokensKeepTheirExpiry(t *testing.T) {
-	p := newPurse(t, true)
+	p := newCacheFixture(t, true)
 	p.request(100, 0)
 	d := p.grant(p.asks()[0].Ask.Seq, 1, 0, 0)[0]
 	p.now += testBounds.TokenValidity() / 2
@@ -121,7 +121,7 @@
 // Without an answer a request must end after MaxWait, on the VM's own entitlement if that covers
 // the whole cost, and otherwise undecided.
 func TestRequestsEndWithoutACoordinator(t *testing.T) {
-	silent := newPurse(t, true)
+	silent := newCacheFixture(t, true)
 	silent.now += 5 * time.Second
 	silent.request(100, 0)
 	silent.asks()
@@ -129,7 +129,7 @@
 	if _, d, _ := silent.w.Tick(silent.now); len(d) != 1 || d[0].Outcome != Undecided || d[0].RetryAfter != retryUndecided {
 		t.Errorf("while a coordinator is silent: %+v", d)
 	}
-	alone := newPurse(t, false)
+	alone := newCacheFixture(t, false)
 	if d := alone.request(100, 0); d.Outcome != Waiting {
 		t.Errorf("without any entitlement: %+v", d)
 	}
@@ -150,7 +150,7 @@
 // The most urgent requests must get the tokens first, and a refusal must end those that are as
 // urgent or less, but none that is more urgent.
 func TestUrgentRequestsGoFirst(t *testing.T) {
-	p := newPurse(t, true)
+	p := newCacheFixture(t, true)
 	p.request(100, 2)
 	p.request(200, 1)
 	ask := p.asks()[0].Ask
--- a/internal/steer/replica.go
+++ b/internal/steer/replica.go
@@ -43,7 +43,7 @@
 	// stalls now and then, and with 5 to 10 they serve 0.92 to 0.93.
 	overfullSlots = 6
 	// usualWork is the time of work, in seconds, that counts as one running request, and
-	// leastWork the least one that is told apart from others.
+	// leastWork the least one that is distinguished from others.
 	usualWork, leastWork = 0.06, 0.02
 	// nearlyEqual is the ratio of costs up to which replicas are used alike: less than one
 	// in another zone costs more, so that near ones come first at light load.
