relay: log each repeated send with the state of its budget

Callers saw more repeated sends than the budget allows, and no log line said that a request is sent again, or of how many requests and VMs the budget was computed. A line for each decision now has the requests, the repeats and the bound; a request's end says whether another VM passed it on; and a daemon logs when the number of VMs that share the bound rises.

--- a/internal/gateway/apply.go
+++ b/internal/gateway/apply.go
@@ -55,7 +55,9 @@
 		// The first read of an era is not forwarded: the other daemons make it too.
 		g.forwardChanges(forwarded)
 	}
-	g.budgets.raiseMembers(len(g.keeper.Members()))
+	if members := len(g.keeper.Members()); g.budgets.raiseMembers(members) {
+		g.log.Info("retry budgets are shared by more VMs", "vms", members)
+	}
 }
 
 func (g *Gateway) applyConfig(config routing.Config) {
--- a/internal/gateway/budgets.go
+++ b/internal/gateway/budgets.go
@@ -57,18 +57,19 @@
 	return budget
 }
 
-// raiseMembers raises the number of daemons that share the budget. It never
-// decreases, so that a disconnected daemon does not use the others' shares.
-func (b *budgets) raiseMembers(members int) {
+// raiseMembers raises the number of daemons that share the budget, and reports whether it
+// did. It never decreases, so that a disconnected daemon does not use the others' shares.
+func (b *budgets) raiseMembers(members int) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if members <= b.members {
-		return
+		return false
 	}
 	b.members = members
 	for _, budget := range b.services {
 		budget.SetMinRetries(b.minRetries())
 	}
+	return true
 }
 
 // minRetries returns this daemon's part of the slack. The caller holds mu.
--- a/internal/limit/budget.go
+++ b/internal/limit/budget.go
@@ -80,6 +80,20 @@
 	return true
 }
 
+// Usage is what a RetryBudget has counted within its window.
+type Usage struct {
+	Deposits, Retries int
+	// Allowed is the number of retries that the deposits allow, with MinRetries.
+	Allowed int
+}
+
+// Usage returns what was counted within the window before now.
+func (b *RetryBudget) Usage(now time.Time) Usage {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.usage(now)
+}
+
 // Available reports whether one more retry is within the budget, without
 // counting it.
 func (b *RetryBudget) Available(now time.Time) bool {
@@ -90,15 +104,22 @@
 
 // available implements Available. The caller holds mu.
 func (b *RetryBudget) available(now time.Time) bool {
+	u := b.usage(now)
+	return u.Retries < u.Allowed
+}
+
+// usage implements Usage. The caller holds mu.
+func (b *RetryBudget) usage(now time.Time) Usage {
 	current := b.currentSlice(now)
-	var deposits, retries int
+	var u Usage
 	for _, s := range b.slices {
 		if s.index > current.index-budgetSlices && s.index <= current.index {
-			deposits += s.deposits
-			retries += s.retries
+			u.Deposits += s.deposits
+			u.Retries += s.retries
 		}
 	}
-	return retries < b.config.MinRetries+int(b.config.Ratio*float64(deposits))
+	u.Allowed = b.config.MinRetries + int(b.config.Ratio*float64(u.Deposits))
+	return u
 }
 
 // currentSlice returns the slice of now and resets it if it counted events of
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -153,7 +153,7 @@
 		e.relay.log.Info("request resumes a stream", "id", e.call.ID, "first_try", e.call.FirstTry, "last_event", e.call.LastEventID, "software", e.softwareVersion)
 	}
 	e.relay.log.Info("request ended", "id", e.call.ID, "route", e.route.Name, "customer", e.customerName(), "version", e.table.Version(), "outcome", e.outcome,
-		"status", e.status, "reason", e.reason, "upstream", e.upstreamID, "adapter", e.call.Adapter.String(), "sends", e.sends, "runs", e.possibleRuns,
+		"status", e.status, "reason", e.reason, "upstream", e.upstreamID, "adapter", e.call.Adapter.String(), "sends", e.sends, "runs", e.possibleRuns, "passed_on", e.passedOn,
 		"events", e.events, "first_ms", e.timeToFirstEvent.Milliseconds(), "pause_ms", e.maxEventGap.Milliseconds(), "waited_ms", e.admissionWait.Milliseconds(), "took_ms", took.Milliseconds())
 	if e.outcome == outcomeBroken || e.outcome == outcomeCallerLeft {
 		panic(http.ErrAbortHandler)
@@ -256,7 +256,12 @@
 	if e.sends == 0 {
 		return true
 	}
-	if !e.relay.config.Budget(e.service.Name).Allow(monotonicNow()) {
+	budget := e.relay.config.Budget(e.service.Name)
+	allowed := budget.Allow(monotonicNow())
+	usage := budget.Usage(monotonicNow())
+	e.relay.log.Info("request is to be sent again", "id", e.call.ID, "service", e.service.Name, "to", reason, "sends", e.sends, "allowed", allowed,
+		"budget", slog.GroupValue(slog.Int("requests", usage.Deposits), slog.Int("repeats", usage.Retries), slog.Int("bound", usage.Allowed)))
+	if !allowed {
 		e.reason = "the budget for repeated sends is used up"
 		return false
 	}
