relay: a request that is passed on counts once for the retry budget

Second cause of more repeated sends than the budget allows: the ratio was taken of more requests than callers had sent. Each VM that was asked for another VM's request counted it when it arrived, also if it refused it, and up to three VMs are asked. That happens while VMs reach no upstream or can't prove that their configuration is the newest, so beside outages of the store.

A request of another VM counts when it is sent to an upstream. TestPassedOnRequestCountsOnceForTheRetryBudget failed before: a request that was refused counted.

--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -47,6 +47,8 @@
 	// possibleRuns the sends after which the request may have run.
 	sends        int
 	possibleRuns int
+	// deposited is set once the request counts for the retry budget.
+	deposited bool
 	// carriers lists the connections of earlier sends.
 	carriers []hop.ConnID
 	// tried lists the upstreams that must not be selected again.
@@ -135,8 +137,17 @@
 	e.subject = quarantine.Request{
 		Fingerprint: quarantine.NewFingerprint(call.Method, call.Host, call.Target, e.callerText(), e.body), Prompt: call.PromptParts,
 	}
-	if e.passedOn || !e.relay.config.Peers.CutOff() && e.keysUsable() {
-		// The VM that sends the request to upstreams counts it for its repeated sends.
+	if !e.passedOn && !e.relay.config.Peers.CutOff() && e.keysUsable() {
+		e.deposit()
+	}
+}
+
+// deposit counts the request for the retry budget, once. The VM that sends it to upstreams
+// does so, because it makes the repeated sends. One that is asked for another VM's request
+// may refuse it, and further VMs are asked then, so it counts the request when it sends it.
+func (e *exchange) deposit() {
+	if !e.deposited {
+		e.deposited = true
 		e.relay.config.Budget(e.service.Name).Deposit(monotonicNow())
 	}
 }
@@ -316,6 +327,7 @@
 		Header: protocol.RequestHeader(e.call, params),
 		Body:   e.body,
 	}
+	e.deposit()
 	sentAt := clock.Boot()
 	response, failed := e.exchangeOver(ctx, e.relay.config.Pools.RequestPool(upstream), request, func() error { return e.lastCheck(upstream, granted) })
 	if response == nil {
--- a/internal/relay/pass_on_test.go
+++ b/internal/relay/pass_on_test.go
@@ -130,6 +130,33 @@
 	}
 }
 
+// A request counts once for the retry budget, at the VM that sends it, however many VMs are
+// asked for it.
+func TestPassedOnRequestCountsOnceForTheRetryBudget(t *testing.T) {
+	tests := []struct {
+		name             string
+		passedOn, cutOff bool
+		want             int
+	}{
+		{"own caller's", false, false, 1},
+		{"own caller's, passed on", false, true, 0},
+		{"another VM's, sent", true, false, 1},
+		{"another VM's, refused", true, true, 0},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			r := newResendRelay(t, startRawUpstream(t, serveUpstream))
+			peers := &otherVMs{vms: []*rawUpstream{startRawUpstream(t, serveUpstream)}}
+			peers.cutOff.Store(test.cutOff)
+			r.config.Peers, r.config.Protocol = peers, passOnProtocol{}
+			r.serve(httptest.NewRecorder(), keyedRequest("/p/", strings.NewReader("tick")), test.passedOn)
+			if got := r.config.Budget("api").Usage(monotonicNow()).Deposits; got != test.want {
+				t.Errorf("counted %d times, want %d", got, test.want)
+			}
+		})
+	}
+}
+
 // answerCounter counts the answers that are reported as engines'.
 type answerCounter struct {
 	noQuarantine
