relay: a passed-on request that was sent is not left to a third VM

Third cause of more repeated sends than the budget allows: a VM that had sent another VM's request, got a refusal of the upstream and then lost the proof of its configuration answered with the mark that a third VM may serve the request. The first VM doesn't count that send, so the third VM's send was a repeat that no budget had paid for.

The mark is set only if nothing was sent. TestPassedOnRequestThatWasSentIsNotLeftToAThirdVM failed before.

--- a/internal/relay/freshness.go
+++ b/internal/relay/freshness.go
@@ -37,9 +37,10 @@
 	return !e.notFresh
 }
 
-// refuseNotFresh ends a request whose API key can't be accepted, and that no other VM takes.
+// refuseNotFresh ends a request whose API key can't be accepted, and that no other VM takes. One
+// that was sent stays here: the VM that passed it on doesn't count that send for its budget.
 func (e *exchange) refuseNotFresh() bool {
-	markUnreachable(e.w, e.passedOn && e.possibleRuns == 0 && !e.headSent)
+	markUnreachable(e.w, e.passedOn && e.sends == 0)
 	e.giveUp(http.StatusBadGateway, retryAfterNotFresh, errNotFresh.Error())
 	return true
 }
--- a/internal/relay/pass_on_test.go
+++ b/internal/relay/pass_on_test.go
@@ -157,6 +157,31 @@
 	}
 }
 
+// losingProof is lost when an upstream has answered.
+type losingProof struct{ upstream *rawUpstream }
+
+func (p *losingProof) KeysUsable() bool { return p.upstream.runs.Load() == 0 }
+
+// A VM that has sent another VM's request to an upstream must not leave it to a third one:
+// nobody would count the third one's send as a repeated one.
+func TestPassedOnRequestThatWasSentIsNotLeftToAThirdVM(t *testing.T) {
+	upstream := startRawUpstream(t, func(u *rawUpstream, w io.Writer, _, _ int, id string) {
+		u.runs.Add(1)
+		refuse(w, http.StatusServiceUnavailable, id)
+	})
+	r := newResendRelay(t, upstream)
+	r.SetTable(keyedTable(t))
+	r.config.Protocol, r.config.Freshness = passOnProtocol{}, &losingProof{upstream}
+	w := httptest.NewRecorder()
+	r.serve(w, keyedRequest("/p/", strings.NewReader("tick")), true)
+	if upstream.runs.Load() != 1 || w.Code != http.StatusServiceUnavailable {
+		t.Fatalf("status %d after %d sends, want a refusal after one", w.Code, upstream.runs.Load())
+	}
+	if w.Header().Get(headerUnreachable) != "" {
+		t.Error("the refusal says that another VM may serve the request")
+	}
+}
+
 // answerCounter counts the answers that are reported as engines'.
 type answerCounter struct {
 	noQuarantine
