places: one VM hands out the places of a fragile replica

There are 61 VMs for four replicas of six slots: each VM kept below its share of a replica's slots, and the some 40 VMs without any share could still have one request each, so that up to 64 requests met 24 slots.

A bound that is smaller than the number of senders can't be divided. The first member in a replica's rendezvous order now hands out its places, first come, first served; a request asks all usable replicas at once and goes to the first that has a place, or is refused after 250 ms. Claims list all of a VM's requests, so lost and late datagrams and another granter leave no place taken or given twice.

--- a/internal/dissemination/entry.go
+++ b/internal/dissemination/entry.go
@@ -23,6 +23,11 @@
 	KindReplicaLoad uint32 = 6
 	// KindQuotaState is a coordinator's reply to delegations.
 	KindQuotaState uint32 = 7
+	// KindPlaceClaim claims places at a fragile upstream, and KindPlaceGrant answers it.
+	KindPlaceClaim uint32 = 8
+	KindPlaceGrant uint32 = 9
+	// KindFragility says how many refusals the upstreams of a service bear.
+	KindFragility uint32 = 10
 )
 
 // Sender is the process that sent an entry.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -20,6 +20,7 @@
 	"github.com/barleylift/barleylift/internal/metrics"
 	"github.com/barleylift/barleylift/internal/mirror"
 	"github.com/barleylift/barleylift/internal/orders"
+	"github.com/barleylift/barleylift/internal/places"
 	"github.com/barleylift/barleylift/internal/relay"
 	"github.com/barleylift/barleylift/internal/replicaload"
 	"github.com/barleylift/barleylift/internal/topology"
@@ -79,7 +80,13 @@
 	quotas         *quotas
 	// replicaSums is what runs at replicas on all VMs, if this one is a coordinator, and
 	// replicaLoads what coordinators have reported of that.
-	replicaSums  *replicaload.Sums
+	replicaSums *replicaload.Sums
+	// places are this VM's places at fragile replicas, and placeGranter hands out those of the
+	// replicas that this VM ranks first for.
+	places       *places.Client
+	placeGranter *places.Granter
+	// placeMembers is the digest of the members when a place was last claimed here.
+	placeMembers atomic.Uint64
 	replicaLoads replicaload.Known
 	// replicaLoadsKnown is whether the last log line on replicaLoads said that sums are in
 	// use. Only the goroutine of the exchanges uses it.
@@ -166,6 +173,8 @@
 		reach:              newReach(),
 		coordinators:       dissemination.NewCoordinators(s.VM),
 		replicaSums:        replicaload.NewSums(),
+		places:             places.NewClient(),
+		placeGranter:       places.NewGranter(),
 		forwardLimiter:     rate.NewLimiter(forwardRate, forwardBurst),
 	}
 	g.settings.Store(&s)
@@ -183,7 +192,7 @@
 	var err error
 	log := g.options.Log
 	meters := g.options.Meters
-	if g.locator, err = locator.New(locator.Config{Zone: s.Zone, Name: s.VM, SendRequest: g.sendRequest, SendProgress: g.sendProgress, SendTurnRequest: g.sendTurnRequest, RankAt: g.rankAt, OthersRunning: g.replicaLoads.Others, Log: log}); err != nil {
+	if g.locator, err = locator.New(locator.Config{Zone: s.Zone, Name: s.VM, SendRequest: g.sendRequest, SendProgress: g.sendProgress, SendTurnRequest: g.sendTurnRequest, OthersRunning: g.replicaLoads.Others, Log: log}); err != nil {
 		return err
 	}
 	if g.keeper, err = fleet.NewKeeper(fleet.KeeperConfig{
@@ -225,6 +234,7 @@
 		Peers:      g,
 		Freshness:  g,
 		Quotas:     g,
+		Places:     g,
 		Log:        log,
 	}); err != nil {
 		return err
@@ -239,6 +249,7 @@
 	}
 	g.routeQuotas()
 	g.shareReplicaLoads()
+	g.sharePlaces()
 	g.mesh, err = mesh.Open(mesh.Config{
 		Listen: s.Mesh, From: s.VM, Incarnation: g.incarnation, Receive: g.receive, CountBytes: meters.MeshBytes, Log: log,
 	})
@@ -273,7 +284,7 @@
 	var running sync.WaitGroup
 	running.Go(g.mesh.Run)
 	for _, part := range []func(context.Context){
-		g.mirror.Run, g.keeper.Run, g.runAssignments, g.runHeartbeats, g.runSweeps, g.runReloads, g.runReachability, g.runExchanges, g.runQuotas,
+		g.mirror.Run, g.keeper.Run, g.runAssignments, g.runHeartbeats, g.runSweeps, g.runReloads, g.runReachability, g.runExchanges, g.runPlaces, g.runQuotas,
 	} {
 		running.Go(func() { part(background) })
 	}
--- a/internal/locator/doc.go
+++ b/internal/locator/doc.go
@@ -5,5 +5,5 @@
 // and wakes the requests that wait for them.
 //
 // Locator.mu guards all tables. It is not held during I/O; sending a datagram
-// does not block. Config.RankAt is called with it held.
+// does not block.
 package locator
--- a/internal/locator/fragility.go
+++ b/internal/locator/fragility.go
@@ -45,30 +45,6 @@
 	return known.Pause(), known.MaxRefusals
 }
 
-// withShareOfRoom returns, of the replicas of a service that is fragile, those to which this
-// daemon may send another request. One that has no share at any replica may have one request
-// at the replica that ranks it highest. The caller holds mu.
-func (l *Locator) withShareOfRoom(views map[string]*view) map[string]*view {
-	usable := make(map[string]*view)
-	var best *view
-	bestRank, hasShare := 0, false
-	for id, v := range views {
-		rank, daemons := l.config.RankAt(id)
-		share := fragility.Share(v.upstream.Slots, daemons, rank)
-		hasShare = hasShare || share > 0
-		if v.running < share {
-			usable[id] = v
-		}
-		if !v.upstream.Leaving && (best == nil || rank < bestRank) {
-			best, bestRank = v, rank
-		}
-	}
-	if !hasShare && best != nil && best.running == 0 {
-		usable[best.upstream.ID] = best
-	}
-	return usable
-}
-
 // IsFragile reports whether the upstreams of a service are fragile.
 func (l *Locator) IsFragile(service string) bool {
 	l.mu.Lock()
--- a/internal/locator/locator.go
+++ b/internal/locator/locator.go
@@ -35,9 +35,6 @@
 	// without an owner. It returns false if no daemon decides on that. The answer
 	// arrives by HandleGrant, possibly during the call.
 	SendTurnRequest func(request ratelimit.Request) bool
-	// RankAt returns this daemon's place, from 0 on, among all daemons in the order of an
-	// upstream, and their number; nil if there is only one.
-	RankAt func(upstream string) (rank, daemons int)
 	// OthersRunning returns the number of requests that other VMs have running at a
 	// replica's process; 0 if unknown. It is called with Locator.mu held. It may be nil.
 	OthersRunning func(now time.Duration, replica string, incarnation int64) int
@@ -73,9 +70,6 @@
 	if config.SendRequest == nil || config.SendProgress == nil || config.SendTurnRequest == nil || config.Log == nil {
 		return nil, errors.New("locator: SendRequest, SendProgress, SendTurnRequest and Log are required")
 	}
-	if config.RankAt == nil {
-		config.RankAt = func(string) (int, int) { return 0, 1 }
-	}
 	if config.OthersRunning == nil {
 		config.OthersRunning = func(time.Duration, string, int64) int { return 0 }
 	}
@@ -212,9 +206,6 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	views := l.services[service]
-	if l.fragile[service].Applies(now) {
-		views = l.withShareOfRoom(views)
-	}
 	replicas := make([]steer.Replica, 0, len(views))
 	for id, v := range views {
 		v.isReplica = true
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -61,8 +61,10 @@
 	// waitedForTurn is set once the request has waited for the end of a pause or for
 	// room within a rate limit.
 	waitedForTurn bool
-	// roomWait is how long the request has waited for room at fragile replicas.
-	roomWait time.Duration
+	// placeWait is how long the request has waited for places at fragile replicas.
+	placeWait time.Duration
+	// upstreamDone is set if the upstream of the last send has ended its answer.
+	upstreamDone bool
 	// onlyEngine is set if the last choice had one engine to choose from.
 	onlyEngine bool
 	// passedOn is set if another VM has passed the request on. triedVMs lists the VMs to
--- a/internal/relay/pause.go
+++ b/internal/relay/pause.go
@@ -6,6 +6,7 @@
 
 	"github.com/barleylift/barleylift/internal/clock"
 	"github.com/barleylift/barleylift/internal/pausing"
+	"github.com/barleylift/barleylift/internal/steer"
 	"github.com/cespare/xxhash/v2"
 )
 
@@ -28,22 +29,22 @@
 	return clock.Sleep(e.ctx, wait)
 }
 
-const (
-	// maxRoomWait is how long a request waits, at most, until this daemon has fewer
-	// requests at the replicas of a service that are fragile, and roomPollInterval the
-	// time between two looks.
-	maxRoomWait      = 250 * time.Millisecond
-	roomPollInterval = 20 * time.Millisecond
-)
+// maxPlaceWait is how long a request waits, at most, for places at fragile replicas.
+const maxPlaceWait = 250 * time.Millisecond
 
-// awaitRoom waits a moment for room at the replicas of a service that are fragile. It returns
-// false if it did not wait.
-func (e *exchange) awaitRoom() bool {
-	if e.roomWait >= maxRoomWait || !e.mayRunAgain() || !e.relay.config.Locator.IsFragile(e.service.Name) {
-		return false
+// acquirePlace waits for a place at one of the replicas of a service that is fragile, the best
+// of those that are asked. It returns false if there was none.
+func (e *exchange) acquirePlace(replicas []steer.Replica) (Place, bool) {
+	ids := make([]string, 0, len(replicas))
+	for _, replica := range replicas {
+		ids = append(ids, replica.ID)
 	}
-	e.roomWait += roomPollInterval
-	return clock.Sleep(e.ctx, roomPollInterval)
+	started := time.Now()
+	place, ok := e.relay.config.Places.AcquirePlace(e.ctx, ids, maxPlaceWait-e.placeWait)
+	waited := time.Since(started)
+	e.placeWait += waited
+	e.relay.log.Info("waited for a place at a fragile replica", "id", e.call.ID, "replicas", len(ids), "upstream", place.Upstream, "took_ms", waited.Milliseconds())
+	return place, ok
 }
 
 // giveUpForNow ends a request that no upstream takes now. If all pause or have no
--- a/internal/relay/plain.go
+++ b/internal/relay/plain.go
@@ -44,7 +44,7 @@
 		}
 		replicas := e.relay.config.Locator.Replicas(e.service.Name, e.tried, e.random())
 		id, ok := steer.PickReplica(replicas)
-		if !ok && (e.awaitNextTurn(false) || e.awaitRoom()) {
+		if !ok && e.awaitNextTurn(false) {
 			continue
 		}
 		if !ok {
@@ -57,12 +57,33 @@
 			clock.Sleep(e.ctx, declinedBackoff)
 			continue
 		}
+		if e.relay.config.Locator.IsFragile(e.service.Name) {
+			if e.tryFragileReplica(replicas) {
+				return
+			}
+			continue
+		}
 		if e.tryReplica(id) {
 			return
 		}
 	}
 }
 
+// tryFragileReplica sends the request to one of several replicas that has a place for it and
+// reports whether the request has ended.
+func (e *exchange) tryFragileReplica(replicas []steer.Replica) bool {
+	place, ok := e.acquirePlace(replicas)
+	if !ok {
+		if !e.endIfExpired() {
+			e.giveUpForNow("no replica has a place for the request")
+		}
+		return true
+	}
+	e.upstreamDone = true // until something is sent
+	defer func() { place.Release(e.upstreamDone) }()
+	return e.tryReplica(place.Upstream)
+}
+
 // tryReplica sends the request to a replica and reports whether the request
 // has ended.
 func (e *exchange) tryReplica(id string) bool {
@@ -93,6 +114,7 @@
 	defer end()
 	started := time.Now()
 	result := e.send(ctx, upstream, true, SendParams{})
+	e.upstreamDone = !result.written
 	e.countSend(result)
 	if result.err != nil {
 		return e.handleSendFailure(upstream, result)
@@ -105,6 +127,7 @@
 			locator.RecordFailure(id)
 		}
 		drain(result)
+		e.upstreamDone = true
 		return false
 	}
 	if result.response.StatusCode >= 500 {
@@ -144,6 +167,7 @@
 	}
 	complete := len(buffered) < maxBufferedBytes
 	if complete {
+		e.upstreamDone = true
 		e.recordAnswer(result.response.StatusCode)
 		result.response.Release()
 		e.w.Header().Set("Content-Length", strconv.Itoa(len(buffered)))
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -76,6 +76,20 @@
 	EngineFailed(ctx context.Context, id string, upstream topology.Upstream, failure quarantine.Failure) (ended bool)
 }
 
+// Place is a place at a fragile replica. Release gives it up; ended is unset if the replica may
+// still be at work on the request.
+type Place struct {
+	Upstream string
+	Release  func(ended bool)
+}
+
+// Places hands out the places of replicas that fall over when they refuse too many requests.
+type Places interface {
+	// AcquirePlace waits until one of several replicas has a place for a request. It returns
+	// false if there was none in time.
+	AcquirePlace(ctx context.Context, upstreams []string, maxWait time.Duration) (Place, bool)
+}
+
 // Peers are the other VMs, to which requests are passed on while this VM reaches no
 // upstream.
 type Peers interface {
@@ -99,6 +113,7 @@
 	Peers      Peers
 	Freshness  Freshness
 	Quotas     Quotas
+	Places     Places
 	// Observe records what an upstream's answer says about later requests. sentAt is
 	// when the request was sent, by clock.Boot, or 0 if the answer is a refusal or may
 	// not be the upstream's own. answer names the answer in the log.
@@ -124,7 +139,7 @@
 
 // New returns a Relay without a routing table.
 func New(config Config) (*Relay, error) {
-	if config.Protocol == nil || config.Locator == nil || config.Pools == nil || config.Budget == nil || config.Metrics == nil || config.Origins == nil || config.Quarantine == nil || config.Peers == nil || config.Freshness == nil || config.Quotas == nil || config.Observe == nil || config.Log == nil {
+	if config.Protocol == nil || config.Locator == nil || config.Pools == nil || config.Budget == nil || config.Metrics == nil || config.Origins == nil || config.Quarantine == nil || config.Peers == nil || config.Freshness == nil || config.Quotas == nil || config.Places == nil || config.Observe == nil || config.Log == nil {
 		return nil, errors.New("relay: a dependency is missing")
 	}
 	return &Relay{config: config, log: config.Log.With("part", "relay"), estimates: newEstimates()}, nil
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -57,6 +57,13 @@
 }
 func (noQuotas) Return(string, int64, quota.Decision) {}
 
+// noPlaces hands out no places.
+type noPlaces struct{}
+
+func (noPlaces) AcquirePlace(context.Context, []string, time.Duration) (Place, bool) {
+	return Place{}, false
+}
+
 // noQuarantine knows no crashes.
 type noQuarantine struct{}
 
@@ -105,7 +112,7 @@
 		Protocol: minimalProtocol{}, Locator: engines, Pools: &testPools{}, Log: log,
 		Budget:  func(string) *limit.RetryBudget { return budget },
 		Metrics: metrics.NewGateway(prometheus.NewRegistry()),
-		Origins: noOrigins{}, Quarantine: noQuarantine{}, Peers: noPeers{}, Freshness: &proofOf{}, Quotas: noQuotas{},
+		Origins: noOrigins{}, Quarantine: noQuarantine{}, Peers: noPeers{}, Freshness: &proofOf{}, Quotas: noQuotas{}, Places: noPlaces{},
 		Observe: func(topology.Upstream, topology.Statement, time.Duration, string) {},
 	})
 	if err != nil {
