gateway: VMs tell each other which upstreams are fragile

Second cause of the falls: a VM learned that the upstreams of a service fall over when they refuse too many requests from its own answers only, or when one refused. One that had just started, or had had no answer of the service, sent as many requests as it got. Engines without an owner that admits got requests without any bound.

While a service's upstreams are fragile, each heartbeat is followed by an entry that says so, with the age of the answer; a VM that has had a later answer without it isn't told again. A fragile engine without an owner is left out, like one with a rate limit.

--- a/internal/fragility/fragility.go
+++ b/internal/fragility/fragility.go
@@ -17,9 +17,9 @@
 type Fragility struct {
 	// MaxRefusals is the number of refusals in a second that each upstream bears.
 	MaxRefusals int
-	stated      bool
-	// statedAt is when the latest answer that said so arrived.
-	statedAt time.Duration
+	// statedAt is when the latest answer that named a maximum arrived, and endedAt when a
+	// later one without; 0 for none.
+	statedAt, endedAt time.Duration
 }
 
 // StatedAt returns when the latest answer that named a maximum arrived.
@@ -27,24 +27,28 @@
 	return f.statedAt
 }
 
-// Stated returns what is known after an answer that names a maximum has arrived.
-func (f Fragility) Stated(now time.Duration, maxRefusals int) Fragility {
-	return Fragility{MaxRefusals: maxRefusals, stated: true, statedAt: now}
+// Stated returns what is known after an answer that names a maximum arrived at a time, here
+// or at another VM.
+func (f Fragility) Stated(at time.Duration, maxRefusals int) Fragility {
+	if at <= max(f.statedAt, f.endedAt) {
+		return f
+	}
+	return Fragility{MaxRefusals: maxRefusals, statedAt: at, endedAt: f.endedAt}
 }
 
-// Ended returns what is known after an answer without a maximum has arrived, to a request
+// Ended returns what is known after an answer without a maximum has arrived now, to a request
 // that was sent at a time. Answers on different connections overtake each other, so an
 // earlier one ends nothing.
-func (f Fragility) Ended(sentAt time.Duration) Fragility {
-	if f.stated && sentAt <= f.statedAt {
+func (f Fragility) Ended(now, sentAt time.Duration) Fragility {
+	if f.statedAt == 0 || sentAt <= f.statedAt {
 		return f
 	}
-	return Fragility{}
+	return Fragility{endedAt: now}
 }
 
 // Applies reports whether the upstream is fragile.
 func (f Fragility) Applies(now time.Duration) bool {
-	return f.stated && now-f.statedAt < statementTTL
+	return f.statedAt > f.endedAt && now-f.statedAt < statementTTL
 }
 
 // Pause returns how long all VMs keep from the upstream after a refusal, so that its
--- a/internal/fragility/fragility_test.go
+++ b/internal/fragility/fragility_test.go
@@ -12,15 +12,22 @@
 	if !f.Applies(11 * time.Second) {
 		t.Error("not fragile after an answer that says so")
 	}
-	if !f.Ended(9 * time.Second).Applies(11 * time.Second) {
+	if !f.Ended(11*time.Second, 9*time.Second).Applies(11 * time.Second) {
 		t.Error("ended by an answer to a request from before")
 	}
-	if f.Ended(10500 * time.Millisecond).Applies(11 * time.Second) {
+	if f.Ended(11*time.Second, 10500*time.Millisecond).Applies(11 * time.Second) {
 		t.Error("fragile after a later answer without a maximum")
 	}
 	if f.Applies(10*time.Second + statementTTL) {
 		t.Error("fragile for ever")
 	}
+	ended := f.Ended(12*time.Second, 11*time.Second)
+	if ended.Stated(10500*time.Millisecond, 4).Applies(12 * time.Second) {
+		t.Error("fragile again by another VM's older answer")
+	}
+	if !ended.Stated(13*time.Second, 4).Applies(13 * time.Second) {
+		t.Error("not fragile after another VM's newer answer")
+	}
 }
 
 // The shares of all VMs make up what an upstream runs at once, however few that is.
@@ -46,7 +53,7 @@
 	tests := []struct{ maxRefusals, excessVMs int }{{2, 1}, {4, 2}, {10, 2}, {40, 9}}
 	for _, test := range tests {
 		random := rand.New(rand.NewPCG(uint64(test.maxRefusals), 1))
-		f := Fragility{}.Stated(0, test.maxRefusals)
+		f := Fragility{}.Stated(1, test.maxRefusals)
 		var running, refusals []time.Duration
 		// refusedAt is when an excess VM was last refused.
 		refusedAt := make([]time.Duration, test.excessVMs)
--- a/internal/gateway/notices.go
+++ b/internal/gateway/notices.go
@@ -128,6 +128,7 @@
 	g.spreadQuarantine(&heartbeat)
 	g.confirmOwnership(member, &heartbeat)
 	g.mesh.Send(address, mesh.Packet{Heartbeat: &heartbeat})
+	g.router.Send(member, g.fragilityEntries()...)
 }
 
 // sendHeartbeatsToAll notifies all other daemons at once that this one is draining, is cut
--- a/internal/gateway/places.go
+++ b/internal/gateway/places.go
@@ -25,10 +25,12 @@
 	idleClaimInterval = 250 * time.Millisecond
 )
 
-// sharePlaces registers the entries by which VMs share the places of fragile replicas.
+// sharePlaces registers the entries by which VMs know of fragile upstreams and share the places
+// of their replicas.
 func (g *Gateway) sharePlaces() {
 	g.router.Handle(dissemination.KindPlaceClaim, g.receivePlaceClaim)
 	g.router.Handle(dissemination.KindPlaceGrant, g.receivePlaceGrant)
+	g.router.Handle(dissemination.KindFragility, g.receiveFragility)
 }
 
 // AcquirePlace implements relay.Places.
--- a/internal/locator/fragility.go
+++ b/internal/locator/fragility.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"github.com/barleylift/barleylift/internal/clock"
-	"github.com/barleylift/barleylift/internal/fragility"
 	"github.com/barleylift/barleylift/internal/topology"
 )
 
@@ -21,16 +20,52 @@
 	case statement.HasMaxRefusals:
 		known = known.Stated(now, statement.MaxRefusals)
 	case ok && sentAt > 0:
-		known = known.Ended(sentAt)
+		known = known.Ended(now, sentAt)
+	default:
+		return false
 	}
-	if known == (fragility.Fragility{}) {
-		delete(l.fragile, service)
-	} else {
-		l.fragile[service] = known
+	l.fragile[service] = known
+	return before != known.Applies(now)
+}
+
+// RecordFragilityElsewhere records that an answer at another daemon has named a maximum some
+// time ago, and reports whether that begins the fragility of the upstreams of a service.
+func (l *Locator) RecordFragilityElsewhere(service string, maxRefusals int, age time.Duration) (changed bool) {
+	now := clock.Boot()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.services[service] == nil {
+		return false
 	}
+	known := l.fragile[service]
+	before := known.Applies(now)
+	known = known.Stated(now-age, maxRefusals)
+	l.fragile[service] = known
 	return before != known.Applies(now)
 }
 
+// FragileService is a service whose upstreams are fragile.
+type FragileService struct {
+	Service     string
+	MaxRefusals int
+	// Age is how long ago an answer last said so.
+	Age time.Duration
+}
+
+// FragileServices returns the services whose upstreams are fragile.
+func (l *Locator) FragileServices() []FragileService {
+	now := clock.Boot()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var services []FragileService
+	for service, known := range l.fragile {
+		if known.Applies(now) {
+			services = append(services, FragileService{Service: service, MaxRefusals: known.MaxRefusals, Age: now - known.StatedAt()})
+		}
+	}
+	return services
+}
+
 // FragilityPause returns how long all daemons should keep from an upstream that has refused
 // a request, and the refusals that it bears; 0 if it is not fragile or that pause has begun.
 func (l *Locator) FragilityPause(upstream topology.Upstream) (pause time.Duration, maxRefusals int) {
--- a/internal/places/granter.go
+++ b/internal/places/granter.go
@@ -19,7 +19,7 @@
 type allotment struct {
 	// settlesAt is until when the granter only listens.
 	settlesAt, lastClaimAt time.Duration
-	vms                       map[string]*claimant
+	vms                    map[string]*claimant
 	// queue lists the waiting requests in the order in which they were first claimed.
 	queue []waiter
 }
--- a/internal/relay/model.go
+++ b/internal/relay/model.go
@@ -185,13 +185,14 @@
 }
 
 // admitUnowned reports whether the request may be sent to an engine without an
-// owner. One with a rate limit is left out: nobody keeps the requests of all daemons
-// below it.
+// owner. One with a rate limit, or one that is fragile, is left out: nobody keeps the requests
+// of all daemons below what it takes.
 func (e *exchange) admitUnowned(engine string) bool {
-	if !e.relay.config.Locator.RateLimited(engine) {
+	engines := e.relay.config.Locator
+	if !engines.RateLimited(engine) && !engines.IsFragile(e.service.Name) {
 		return true
 	}
-	e.relay.log.Info("engine with a rate limit has no owner, leaving it out", "id", e.call.ID, "engine", engine)
+	e.relay.log.Info("engine with a rate limit or fragile engine has no owner, leaving it out", "id", e.call.ID, "engine", engine)
 	e.tried = append(e.tried, engine)
 	return false
 }
