gateway: streams' software versions outlive the end of all daemons

Reported by operators of a similar system, and here too: after all VMs had been killed at once, callers' take-ups of streams went on at another software version, or none went on at all.

What versions a service has had, and which of them began a stream, was in the memories of daemons alone. One that had started after the last engine of the former version had left saw one version and let callers that name no attempt go on with it; callers that name one were refused, whichever versions served.

Each service now has a record in the key-value service: the versions in use, those that were within a minute, and from when on that is complete. The service's steward writes it when it changes. While there are several versions, two daemons also write the origins of streams there, in segments of at most 200 each 0.3 s, under leases that delete them. A daemon that has not yet seen the engines for a minute goes by the record; one without a record refuses. Segments are not forwarded between daemons.

--- a/internal/gateway/apply.go
+++ b/internal/gateway/apply.go
@@ -31,6 +31,7 @@
 	var forwarded []forwardedChange
 	for _, change := range changes {
 		g.applyQuarantineKey(change)
+		g.applySoftwareKey(change)
 		update, err := g.platform.Decode(change)
 		if u := g.urgencyOf(change, update, err); u > routine {
 			forwarded = append(forwarded, forwardedChange{change, u})
@@ -51,6 +52,7 @@
 		}
 	}
 	g.keeper.Apply(changes, revision)
+	g.softwareSeenFrom.CompareAndSwap(0, int64(clock.Boot()))
 	if g.firstReadApplied.Swap(true) && !isNewEra {
 		// The first read of an era is not forwarded: the other daemons make it too.
 		g.forwardChanges(forwarded)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -87,7 +87,11 @@
 	placeGranter *places.Granter
 	// placeMembers is the digest of the members when a place was last claimed here.
 	placeMembers atomic.Uint64
-	replicaLoads replicaload.Known
+	// software is what the key-value service says of software versions, and softwareSeenFrom
+	// since when this daemon sees those of the engines, by clock.Boot; 0 if it doesn't yet.
+	software         *software
+	softwareSeenFrom atomic.Int64
+	replicaLoads     replicaload.Known
 	// replicaLoadsKnown is whether the last log line on replicaLoads said that sums are in
 	// use. Only the goroutine of the exchanges uses it.
 	replicaLoadsKnown bool
@@ -173,6 +177,7 @@
 		reach:              newReach(),
 		coordinators:       dissemination.NewCoordinators(s.VM),
 		replicaSums:        replicaload.NewSums(),
+		software:           newSoftware(),
 		places:             places.NewClient(),
 		placeGranter:       places.NewGranter(),
 		forwardLimiter:     rate.NewLimiter(forwardRate, forwardBurst),
@@ -284,7 +289,7 @@
 	var running sync.WaitGroup
 	running.Go(g.mesh.Run)
 	for _, part := range []func(context.Context){
-		g.mirror.Run, g.keeper.Run, g.runAssignments, g.runHeartbeats, g.runSweeps, g.runReloads, g.runReachability, g.runExchanges, g.runPlaces, g.runQuotas,
+		g.mirror.Run, g.keeper.Run, g.runAssignments, g.runHeartbeats, g.runSweeps, g.runReloads, g.runReachability, g.runExchanges, g.runPlaces, g.runArchive, g.runQuotas,
 	} {
 		running.Go(func() { part(background) })
 	}
@@ -318,6 +323,7 @@
 			g.expireStatements()
 			g.logEndedPauses()
 			g.storeQuarantine(ctx)
+			g.storeSoftwareVersions(ctx)
 		}
 	}
 }
--- a/internal/gateway/notices.go
+++ b/internal/gateway/notices.go
@@ -268,7 +268,7 @@
 			WaitingWork: waitingWorkOf(status.WaitingWork), PrefillPerToken: max(time.Duration(status.PrefillPerToken), 0),
 		})
 	case packet.Origin != nil:
-		g.origins.record(packet.Origin.Request, packet.Origin.SoftwareVersion, time.Duration(packet.Origin.TTL)*time.Second)
+		g.receiveOrigin(packet.Origin.Request, packet.Origin.SoftwareVersion, time.Duration(packet.Origin.TTL)*time.Second)
 	case packet.OriginQuery != nil:
 		g.answerOrigin(packet.From, packet.OriginQuery)
 	case packet.OriginAnswer != nil:
--- a/internal/gateway/origins.go
+++ b/internal/gateway/origins.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -83,11 +84,16 @@
 func (g *Gateway) RecordOrigin(request, softwareVersion string, ttl time.Duration) {
 	g.origins.record(request, softwareVersion, ttl)
 	names, addresses := g.liveMembers()
-	for _, name := range origin.Keepers(request, g.keeper.Self().Name, names) {
-		g.mesh.Send(addresses[name], mesh.Packet{Origin: &mesh.Origin{
-			Request: request, SoftwareVersion: softwareVersion, TTL: int64(ttl / time.Second),
-		}})
+	packet := mesh.Packet{Origin: &mesh.Origin{Request: request, SoftwareVersion: softwareVersion, TTL: int64(ttl / time.Second)}}
+	keepers := origin.Keepers(request, g.keeper.Self().Name, names)
+	for _, name := range keepers {
+		g.mesh.Send(addresses[name], packet)
 	}
+	g.archiveOrigin(request, softwareVersion, names, func(name string) {
+		if !slices.Contains(keepers, name) {
+			g.mesh.Send(addresses[name], packet)
+		}
+	})
 }
 
 // FindOrigin implements relay.Origins.
@@ -98,6 +104,9 @@
 	if softwareVersion, ok = g.origins.find(request); ok {
 		return softwareVersion, true
 	}
+	if softwareVersion, ok = g.findArchived(request); ok {
+		return softwareVersion, true
+	}
 	names, addresses := g.liveMembers()
 	asked := origin.Askable(request, g.keeper.Self().Name, names)
 	answers := g.origins.begin(request, len(asked))
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -23,6 +23,9 @@
 	Mesh     netip.AddrPort
 	Store    netip.AddrPort
 	MemoryMB int
+	// FirstStart is set when the whole fleet starts for the first time: there were no requests
+	// before.
+	FirstStart bool
 	// Cores is the processor time that this VM may use, in cores; 0 if unknown.
 	Cores float64
 	// Grace is the time from the request to stop until the process is killed.
--- a/internal/gateway/watchers.go
+++ b/internal/gateway/watchers.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/barleylift/barleylift/internal/fleet"
@@ -121,7 +122,7 @@
 // urgencyOf returns the urgency of a change that has not been applied yet, given
 // the update and the error that resulted from decoding it.
 func (g *Gateway) urgencyOf(change mirror.Change, update Update, decodeErr error) urgency {
-	if len(change.Entry.Value) > maxForwardedValue {
+	if len(change.Entry.Value) > maxForwardedValue || strings.HasPrefix(change.Entry.Key, originPrefix) {
 		return routine
 	}
 	if change.Deleted {
--- a/internal/locator/software.go
+++ b/internal/locator/software.go
@@ -1,15 +1,13 @@
 package locator
 
 import (
+	"slices"
 	"time"
 
 	"github.com/barleylift/barleylift/internal/clock"
+	"github.com/barleylift/barleylift/internal/origin"
 )
 
-// versionMemory is how long a software version counts as in use after the last
-// engine with it is gone: longer than any stream that callers take up.
-const versionMemory = time.Minute
-
 // SoftwareVersion returns the version of the software of a process; empty if it is
 // unknown or the process is not the current one.
 func (l *Locator) SoftwareVersion(id string, incarnation int64) string {
@@ -21,29 +19,39 @@
 	return ""
 }
 
-// OnlySoftwareVersion returns the version of all engines that a service has had for
-// versionMemory, as far as this daemon knows. It returns false if there were several,
-// or one is unknown.
-func (l *Locator) OnlySoftwareVersion(service string) (string, bool) {
+// SoftwareVersions returns the versions that a service's engines have had within
+// origin.VersionMemory, as far as this daemon has seen, and whether the version of each engine
+// is known.
+func (l *Locator) SoftwareVersions(service string) (versions []string, known bool) {
 	now := clock.Boot()
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	known = true
 	for _, v := range l.services[service] {
-		if v.softwareVersion() == "" {
-			return "", false
-		}
+		known = known && v.softwareVersion() != ""
 		l.recordVersion(now, v)
 	}
-	only, found := "", 0
 	for version, seenAt := range l.versionsSeenAt[service] {
-		if now-seenAt >= versionMemory {
+		if now-seenAt >= origin.VersionMemory {
 			delete(l.versionsSeenAt[service], version)
 			continue
 		}
-		only = version
-		found++
+		versions = append(versions, version)
+	}
+	return versions, known
+}
+
+// SoftwareVersionsInUse returns the versions of a service's registered engines.
+func (l *Locator) SoftwareVersionsInUse(service string) []string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var versions []string
+	for _, v := range l.services[service] {
+		if version := v.upstream.SoftwareVersion; version != "" && !slices.Contains(versions, version) {
+			versions = append(versions, version)
+		}
 	}
-	return only, found == 1
+	return versions
 }
 
 // recordVersion records that an engine's software version, if known, is in use. The
--- a/internal/locator/software_test.go
+++ b/internal/locator/software_test.go
@@ -10,15 +10,16 @@
 // A version that an engine has had lately still counts after the engine is gone or has
 // started again with another one. A registration older than what the owner knows
 // states none.
-func TestOnlySoftwareVersion(t *testing.T) {
+func TestSoftwareVersionsOfEnginesThatHaveLeftCount(t *testing.T) {
 	o := newOwner(t)
 	register := func(id, version string, incarnation int64) {
 		o.locator.SetUpstream(engine(id, func(u *topology.Upstream) { u.SoftwareVersion, u.Incarnation = version, incarnation }))
 	}
 	check := func(step, want string) {
 		t.Helper()
-		if got, ok := o.locator.OnlySoftwareVersion("lm"); ok != (want != "") || ok && got != want {
-			t.Errorf("%s: %q, %t; want %q", step, got, ok, want)
+		versions, known := o.locator.SoftwareVersions("lm")
+		if ok := known && len(versions) == 1; ok != (want != "") || ok && versions[0] != want {
+			t.Errorf("%s: %q, %t; want %q", step, versions, known, want)
 		}
 	}
 	check("no engine", "")
--- a/internal/relay/origin.go
+++ b/internal/relay/origin.go
@@ -19,15 +19,16 @@
 var errOtherSoftware = errors.New("the engine's software version is not known to be the one that began the stream")
 
 // findOrigin looks up which software version began the stream that the caller takes
-// up. If that is unknown, it refuses the request: what two versions write doesn't fit
-// together. Callers of services that have always had one version may not name the
-// attempt that began the stream.
+// up: that of the attempt that it names, or the only one that the service has had. If that is
+// unknown, it refuses the request: what two versions write doesn't fit together.
 func (e *exchange) findOrigin() bool {
+	origins := e.relay.config.Origins
 	var ok bool
-	if e.call.FirstTry == "" {
-		e.softwareVersion, ok = e.relay.config.Locator.OnlySoftwareVersion(e.service.Name)
-	} else {
-		e.softwareVersion, ok = e.relay.config.Origins.FindOrigin(e.ctx, e.call.FirstTry)
+	if e.call.FirstTry != "" {
+		e.softwareVersion, ok = origins.FindOrigin(e.ctx, e.call.FirstTry)
+	}
+	if !ok {
+		e.softwareVersion, ok = origins.OnlySoftwareVersion(e.service.Name, e.call.FirstTry != "")
 	}
 	e.relay.config.Metrics.StreamTakenUp(e.service.Name, ok)
 	if ok {
--- a/internal/relay/origin_test.go
+++ b/internal/relay/origin_test.go
@@ -27,6 +27,19 @@
 	return version, ok
 }
 
+func (fixedOrigins) OnlySoftwareVersion(string, bool) (string, bool) { return "", false }
+
+// oneVersion knows the origins of some requests, and that a service has had one version only.
+// restarted is set if other origins may have been forgotten.
+type oneVersion struct {
+	fixedOrigins
+	restarted bool
+}
+
+func (o oneVersion) OnlySoftwareVersion(_ string, named bool) (string, bool) {
+	return "v1", !named || o.restarted
+}
+
 // resumeProtocol also decodes the fields of requests that take up a stream.
 type resumeProtocol struct{ headerProtocol }
 
@@ -70,15 +83,17 @@
 		status         int
 		runsV1, runsV2 int64
 		onlyV1         bool
+		restarted      bool
 	}{
-		{"begun at v1", "first-v1", 1, http.StatusOK, 1, 0, false},
-		{"begun at v2", "first-v2", 1, http.StatusOK, 0, 1, false},
-		{"begun at a version without engines", "first-v3", 1, http.StatusServiceUnavailable, 0, 0, false},
-		{"unknown attempt", "other", 1, http.StatusServiceUnavailable, 0, 0, false},
-		{"no attempt named", "", 1, http.StatusServiceUnavailable, 0, 0, false},
-		{"no attempt named, one version", "", 1, http.StatusOK, 1, 0, true},
-		{"unknown attempt, one version", "other", 1, http.StatusServiceUnavailable, 0, 0, true},
-		{"engine that may have started again with another version", "first-v1", 2, http.StatusServiceUnavailable, 0, 0, false},
+		{"begun at v1", "first-v1", 1, http.StatusOK, 1, 0, false, false},
+		{"begun at v2", "first-v2", 1, http.StatusOK, 0, 1, false, false},
+		{"begun at a version without engines", "first-v3", 1, http.StatusServiceUnavailable, 0, 0, false, false},
+		{"unknown attempt", "other", 1, http.StatusServiceUnavailable, 0, 0, false, false},
+		{"no attempt named", "", 1, http.StatusServiceUnavailable, 0, 0, false, false},
+		{"no attempt named, one version", "", 1, http.StatusOK, 1, 0, true, false},
+		{"unknown attempt, one version", "other", 1, http.StatusServiceUnavailable, 0, 0, true, false},
+		{"unknown attempt, one version, all VMs have started again", "other", 1, http.StatusOK, 1, 0, true, true},
+		{"engine that may have started again with another version", "first-v1", 2, http.StatusServiceUnavailable, 0, 0, false, false},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
@@ -89,6 +104,9 @@
 			})
 			r.config.Protocol = resumeProtocol{}
 			r.config.Origins = fixedOrigins{"first-v1": "v1", "first-v2": "v2", "first-v3": "v3"}
+			if test.onlyV1 {
+				r.config.Origins = oneVersion{fixedOrigins{}, test.restarted}
+			}
 			v1, registration := startStreams(t, "v1", false)
 			engines.SetUpstream(registration)
 			v2, registration := startStreams(t, "v2", false)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -59,6 +59,11 @@
 	// FindOrigin returns the version that began the stream of a request, if any
 	// daemon that can be reached knows it.
 	FindOrigin(ctx context.Context, request string) (softwareVersion string, ok bool)
+	// OnlySoftwareVersion returns the software version of all engines that a service has had
+	// for as long as any stream lasts that callers take up, if there was only one. named is
+	// set if the caller names an attempt whose origin is unknown: then the daemons must have
+	// started too lately to know it.
+	OnlySoftwareVersion(service string, named bool) (softwareVersion string, ok bool)
 }
 
 // Quarantine knows the prompt parts and the requests under which engines crash.
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"maps"
 	"net"
+	"slices"
 	"strings"
 
 	"github.com/cespare/xxhash/v2"
@@ -99,6 +101,11 @@
 	return t.services[name]
 }
 
+// Services returns all services, in no order.
+func (t *Table) Services() []*Service {
+	return slices.Collect(maps.Values(t.services))
+}
+
 // Match returns the route of the host with the longest prefix of the path, or
 // nil. The host may include a port.
 func (t *Table) Match(host, path string) *Route {
