admission: requests that go on with a stream come before new ones

An owner ordered them like new requests, and those that a VM resumes within its own answer counted as late, since their first event had been due long ago: a tenth of the capacity.

What a caller has got of a stream is lost if the rest doesn't come, so such requests come first within their class and never count as late. The field is a new key of the admission request; owners of the last landing's build ignore it.

TestNextAdmissions has two more cases.

--- a/internal/admission/gate.go
+++ b/internal/admission/gate.go
@@ -57,6 +57,9 @@
 	// others; 0 without a customer.
 	Customer uint64
 	Weight   float64
+	// Resumes is set if the request goes on with a stream: it comes before new ones of its
+	// class, and is never late, as what its caller has got is lost otherwise.
+	Resumes bool
 }
 
 // waiter is a request that waits for admission.
@@ -180,7 +183,7 @@
 // isLate reports whether a request that is admitted at the given time misses its
 // objective.
 func (g *Gate) isLate(admittedAt time.Duration, w *waiter) bool {
-	return max(admittedAt, g.pacer.busyUntil)+g.prefillTime(w.PromptTokens)+g.pacer.model.Overhead() > w.FirstEventDue
+	return !w.Resumes && max(admittedAt, g.pacer.busyUntil)+g.prefillTime(w.PromptTokens)+g.pacer.model.Overhead() > w.FirstEventDue
 }
 
 // Decision is the status to report to the request's entry.
@@ -324,12 +327,24 @@
 		return 1
 	}
 	due := func(w *waiter) time.Duration { return w.FirstEventDue + time.Duration(w.Priority)*priorityDelay }
-	return cmp.Or(cmp.Compare(due(a), due(b)), compareKeys(a, b))
+	return cmp.Or(compareResumes(a, b), cmp.Compare(due(a), due(b)), compareKeys(a, b))
+}
+
+// compareResumes orders requests that go on with a stream before new ones.
+func compareResumes(a, b *waiter) int {
+	switch {
+	case a.Resumes == b.Resumes:
+		return 0
+	case a.Resumes:
+		return -1
+	default:
+		return 1
+	}
 }
 
 // compareDue orders requests by when their first events are due.
 func compareDue(a, b *waiter) int {
-	return cmp.Or(cmp.Compare(a.FirstEventDue, b.FirstEventDue), compareKeys(a, b))
+	return cmp.Or(compareResumes(a, b), cmp.Compare(a.FirstEventDue, b.FirstEventDue), compareKeys(a, b))
 }
 
 func compareKeys(a, b *waiter) int {
--- a/internal/admission/load_test.go
+++ b/internal/admission/load_test.go
@@ -233,6 +233,8 @@
 		{"the one due first is admitted", []Request{{PromptTokens: 2500, FirstEventDue: later}, {PromptTokens: 2500, FirstEventDue: soon}}, []uint64{2}, nil},
 		{"the one of higher priority is admitted", []Request{{PromptTokens: 2500, Priority: 2, FirstEventDue: soon}, {PromptTokens: 2500, FirstEventDue: soon + 100*time.Millisecond}}, []uint64{2}, nil},
 		{"a late one is admitted after others", []Request{{PromptTokens: 2500, FirstEventDue: -soon}, {PromptTokens: 2500, FirstEventDue: soon}}, []uint64{2}, nil},
+		{"one that goes on with a stream is admitted before an earlier one", []Request{{PromptTokens: 2500, FirstEventDue: soon}, {PromptTokens: 2500, FirstEventDue: -soon, Resumes: true}}, []uint64{2}, nil},
+		{"the same with customers", []Request{{PromptTokens: 2500, FirstEventDue: soon, Customer: 1}, {PromptTokens: 2500, FirstEventDue: -soon, Resumes: true, Customer: 2}}, []uint64{2}, nil},
 		{"a request for a cold adapter waits, another is admitted", []Request{{Adapter: topology.Adapter{Name: "cold"}, FirstEventDue: soon}, {PromptTokens: 10, FirstEventDue: later}}, []uint64{2}, nil},
 		{"a request for an adapter that can't be loaded is declined", []Request{{Adapter: topology.Adapter{Name: "declined"}, FirstEventDue: soon}}, nil, []uint64{1}},
 	}
--- a/internal/admission/order.go
+++ b/internal/admission/order.go
@@ -131,12 +131,12 @@
 	return nil
 }
 
-// compare orders requests of a class: by the counters of their customers, then by when they
-// are due.
+// compare orders requests of a class: those that go on with a stream first, then by the counters
+// of their customers, then by when they are due.
 func (c *class) compare(a, b *waiter) int {
 	if a.Customer != b.Customer {
 		byCounter := cmp.Compare(c.virtualTime.Raise(c.counters[a.Customer]), c.virtualTime.Raise(c.counters[b.Customer]))
-		return cmp.Or(byCounter, cmp.Compare(a.FirstEventDue, b.FirstEventDue), cmp.Compare(a.Customer, b.Customer))
+		return cmp.Or(compareResumes(a, b), byCounter, cmp.Compare(a.FirstEventDue, b.FirstEventDue), cmp.Compare(a.Customer, b.Customer))
 	}
 	return compareDue(a, b)
 }
--- a/internal/gateway/notices.go
+++ b/internal/gateway/notices.go
@@ -365,6 +365,7 @@
 		TurnBy:         request.TurnBy,
 		Customer:       request.Customer,
 		Weight:         request.Weight,
+		Resumes:        request.Resumes,
 	}))
 }
 
@@ -423,7 +424,7 @@
 		Engine: engine, Ticket: request.Ticket, Model: request.Adapter.Model, Adapter: request.Adapter.Name, Version: request.Version,
 		PromptTokens: request.PromptTokens, Priority: request.Priority, PauseObjective: request.PauseObjective.Milliseconds(),
 		FirstEventDue: (request.FirstEventDue - now).Milliseconds(), Deadline: (request.Deadline - now).Milliseconds(),
-		TurnBy: (request.TurnBy - now).Milliseconds(), Customer: request.Customer, Weight: request.Weight,
+		TurnBy: (request.TurnBy - now).Milliseconds(), Customer: request.Customer, Weight: request.Weight, Resumes: request.Resumes,
 	}
 }
 
@@ -441,6 +442,7 @@
 		TurnBy:         now + time.Duration(message.TurnBy)*time.Millisecond,
 		Customer:       message.Customer,
 		Weight:         message.Weight,
+		Resumes:        message.Resumes,
 	}
 }
 
--- a/internal/locator/wait.go
+++ b/internal/locator/wait.go
@@ -49,6 +49,8 @@
 	// relative to others; 0 without a customer.
 	Customer uint64
 	Weight   float64
+	// Resumes is set if the request goes on with a stream.
+	Resumes bool
 }
 
 // Admission is the outcome of an AdmissionRequest.
--- a/internal/mesh/packet.go
+++ b/internal/mesh/packet.go
@@ -298,6 +298,8 @@
 	// relative to others; 0 without a customer.
 	Customer uint64  `cbor:"13,keyasint,omitempty"`
 	Weight   float64 `cbor:"14,keyasint,omitempty"`
+	// Resumes is set if the request goes on with a stream. Earlier builds don't set it.
+	Resumes bool `cbor:"15,keyasint,omitempty"`
 }
 
 // AdmissionStatus is the status of an admission request.
--- a/internal/relay/model.go
+++ b/internal/relay/model.go
@@ -148,6 +148,7 @@
 
 		Customer: e.customerHash(),
 		Weight:   e.customerWeight(),
+		Resumes:  e.lastEventID != "",
 	})
 	if admission == locator.Declined || admission == locator.Unowned && choice.NeedsLoad {
 		e.backOff()
