relay: an upstream that has refused a request gets it again on a new connection only

Reported by operators of a similar system, and possible here: an engine wrote an earlier refusal once more on a kept connection; callers were told that a request had not run although it had, or it ran at a second engine.

No connection carries a request twice, and a refusal without an identifier counts on new connections only. But an engine that had refused a request could get it again over another connection that it kept; a copy of the refusal there names the request and was taken for the answer.

On a new connection nothing can be left of an earlier send, so a request goes to an upstream that has refused it over a new one. TestRepeatedRefusalOnAnotherKeptConnectionIsNotBelieved failed before, in both ways: refused after it ran on a plain route, and two runs at engines.

--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -51,6 +51,8 @@
 	deposited bool
 	// carriers lists the connections of earlier sends.
 	carriers []hop.ConnID
+	// refusedBy lists the upstreams that have refused the request.
+	refusedBy []string
 	// tried lists the upstreams that must not be selected again.
 	tried []string
 	// admissionEngine and admissionTicket identify the admission whose progress is
--- a/internal/relay/model.go
+++ b/internal/relay/model.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/barleylift/barleylift/internal/clock"
@@ -57,8 +58,13 @@
 )
 
 // maxIdle returns the longest idle time of a connection that is reused for this
-// request.
+// request, 0 for none. An upstream that has refused the request may write the refusal
+// once more on any connection that it keeps, and nothing tells it from the answer to a
+// later send.
 func (e *exchange) maxIdle() time.Duration {
+	if slices.Contains(e.refusedBy, e.upstreamID) {
+		return 0
+	}
 	if e.route.Idempotent() {
 		return maxIdleRepeatable
 	}
@@ -335,6 +341,8 @@
 	}
 	if result.mayHaveRun {
 		e.possibleRuns++
+	} else if result.written {
+		e.refusedBy = append(e.refusedBy, e.upstreamID)
 	}
 }
 
--- a/internal/relay/resend_test.go
+++ b/internal/relay/resend_test.go
@@ -214,6 +214,45 @@
 
 // A refusal without an identifier belongs to any request that its connection
 // has carried.
+// An upstream may write an earlier refusal once more on any connection that it keeps, before it
+// runs the request that is sent again there.
+func TestRepeatedRefusalOnAnotherKeptConnectionIsNotBelieved(t *testing.T) {
+	for _, path := range []string{"/p/", "/s/"} {
+		t.Run(path, func(t *testing.T) {
+			var refused atomic.Bool
+			var earlier sync.WaitGroup
+			earlier.Add(2)
+			u := startRawUpstream(t, func(u *rawUpstream, w io.Writer, conn, nth int, id string) {
+				switch {
+				case nth == 1 && conn <= 2:
+					earlier.Done()
+					earlier.Wait() // both connections are in use at once, and kept
+					u.run(w, id)
+				case !refused.Swap(true):
+					refuse(w, http.StatusServiceUnavailable, id)
+				case conn <= 2:
+					refuse(w, http.StatusServiceUnavailable, id)
+					u.run(w, id)
+				default:
+					u.run(w, id)
+				}
+			})
+			r := newResendRelay(t, u)
+			var group sync.WaitGroup
+			for i := range 2 {
+				group.Go(func() {
+					request := httptest.NewRequest(http.MethodPost, path, strings.NewReader("tick"))
+					request.Header.Set("Id", fmt.Sprint("earlier-", i))
+					r.ServeHTTP(httptest.NewRecorder(), request)
+				})
+			}
+			group.Wait()
+			u.runs.Store(0)
+			sendOnce(t, r, u, path, "r1", http.StatusOK)
+		})
+	}
+}
+
 func TestUnidentifiedRefusalOnReusedConnectionIsNotBelieved(t *testing.T) {
 	u := startRawUpstream(t, func(u *rawUpstream, w io.Writer, conn, nth int, id string) {
 		if conn == 1 && nth == 2 {
