metrics: waits for places at fragile replicas, decisions of the retry budget

The counters say in a fleet what the log lines say of one request: how often replicas had no place, and how often the budget refused a repeated send.

--- a/internal/metrics/gateway.go
+++ b/internal/metrics/gateway.go
@@ -34,6 +34,8 @@
 	checkpoints   *prometheus.CounterVec
 	entryDrops    *prometheus.CounterVec
 	passedOn      *prometheus.CounterVec
+	placeWaits    *prometheus.CounterVec
+	repeatBudget  *prometheus.CounterVec
 	cutOff        prometheus.Gauge
 	version       prometheus.Gauge
 	storeEra      prometheus.Gauge
@@ -58,6 +60,8 @@
 		engineCrashes: counter("engine_crashes_total", "Requests that an engine had begun to answer when its process ended, by service.", "service"),
 		withheld:      counter("withheld_requests_total", "Requests withheld from engines that crash on them or on a part of their prompts, by service.", "service"),
 		blockedCauses: counter("crash_causes_blocked_total", "Prompt parts and requests that were blocked as engines crash on them, by kind.", "kind"),
+		placeWaits:    counter("place_waits_total", "Waits for a place at fragile replicas, by service and result.", "service", "result"),
+		repeatBudget:  counter("repeat_decisions_total", "Decisions on repeated sends by the retry budget, by service and result.", "service", "result"),
 		passedOn:      counter("passed_on_requests_total", "Requests passed on to another VM that reaches upstreams, by service.", "service"),
 		cutOff: prometheus.NewGauge(prometheus.GaugeOpts{
 			Namespace: namespace, Name: "cut_off", Help: "1 while this VM reaches no upstream.",
@@ -78,7 +82,7 @@
 			Namespace: namespace, Name: "routing_version", Help: "Configuration version in force.",
 		}),
 	}
-	registerer.MustRegister(g.requests, g.duration, g.firstEvent, g.estimateRatio, g.loadWait, g.repeatedSends, g.refusals, g.skipped, g.turnsDeclined, g.takenUp, g.statements, g.engineCrashes, g.withheld, g.blockedCauses, g.passedOn, g.cutOff, g.engineOrders, g.engineReports, g.kvCalls, g.meshBytes, g.checkpoints, g.entryDrops, g.version, g.storeEra, g.proofAge)
+	registerer.MustRegister(g.requests, g.duration, g.firstEvent, g.estimateRatio, g.loadWait, g.repeatedSends, g.refusals, g.skipped, g.turnsDeclined, g.takenUp, g.statements, g.engineCrashes, g.withheld, g.blockedCauses, g.passedOn, g.placeWaits, g.repeatBudget, g.cutOff, g.engineOrders, g.engineReports, g.kvCalls, g.meshBytes, g.checkpoints, g.entryDrops, g.version, g.storeEra, g.proofAge)
 	return g
 }
 
@@ -152,6 +156,23 @@
 	g.blockedCauses.WithLabelValues(kind).Inc()
 }
 
+// WaitedForPlace counts a wait for a place at fragile replicas.
+func (g *Gateway) WaitedForPlace(service string, granted bool) {
+	g.placeWaits.WithLabelValues(service, resultOf(granted)).Inc()
+}
+
+// RepeatDecided counts a decision of the retry budget on a repeated send.
+func (g *Gateway) RepeatDecided(service string, allowed bool) {
+	g.repeatBudget.WithLabelValues(service, resultOf(allowed)).Inc()
+}
+
+func resultOf(granted bool) string {
+	if granted {
+		return "granted"
+	}
+	return "refused"
+}
+
 // RequestPassedOn counts a request that is passed on to another VM.
 func (g *Gateway) RequestPassedOn(service string) {
 	g.passedOn.WithLabelValues(service).Inc()
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -274,6 +274,7 @@
 	budget := e.relay.config.Budget(e.service.Name)
 	allowed := budget.Allow(monotonicNow())
 	usage := budget.Usage(monotonicNow())
+	e.relay.config.Metrics.RepeatDecided(e.service.Name, allowed)
 	e.relay.log.Info("request is to be sent again", "id", e.call.ID, "service", e.service.Name, "to", reason, "sends", e.sends, "allowed", allowed,
 		"budget", slog.GroupValue(slog.Int("requests", usage.Deposits), slog.Int("repeats", usage.Retries), slog.Int("bound", usage.Allowed)))
 	if !allowed {
--- a/internal/relay/pause.go
+++ b/internal/relay/pause.go
@@ -43,6 +43,7 @@
 	place, ok := e.relay.config.Places.AcquirePlace(e.ctx, ids, maxPlaceWait-e.placeWait)
 	waited := time.Since(started)
 	e.placeWait += waited
+	e.relay.config.Metrics.WaitedForPlace(e.service.Name, ok)
 	e.relay.log.Info("waited for a place at a fragile replica", "id", e.call.ID, "replicas", len(ids), "upstream", place.Upstream, "took_ms", waited.Milliseconds())
 	return place, ok
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -44,6 +44,10 @@
 	// RequestWithheld counts a request that no engine gets because engines crash on it or
 	// on a part of its prompt.
 	RequestWithheld(service string)
+	// WaitedForPlace counts a wait for a place at fragile replicas, and RepeatDecided a
+	// decision of the retry budget on a repeated send.
+	WaitedForPlace(service string, granted bool)
+	RepeatDecided(service string, allowed bool)
 	// RequestPassedOn counts a request that is passed on to another VM.
 	RequestPassedOn(service string)
 	// StreamTakenUp counts a stream that a caller takes up, and whether it is known
