--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -80,7 +80,8 @@
 	quotas         *quotas
 	// replicaSums is what runs at replicas on all VMs, if this one is a coordinator, and
 	// replicaLoads what coordinators have reported of that.
-	replicaSums *replicaload.Sums
+	replicaSums  *replicaload.Sums
+	replicaLoads replicaload.Known
 	// places are this VM's places at fragile replicas, and placeGranter hands out those of the
 	// replicas that this VM ranks first for.
 	places       *places.Client
@@ -91,7 +92,6 @@
 	// since when this daemon sees those of the engines, by clock.Boot; 0 if it doesn't yet.
 	software         *software
 	softwareSeenFrom atomic.Int64
-	replicaLoads     replicaload.Known
 	// replicaLoadsKnown is whether the last log line on replicaLoads said that sums are in
 	// use. Only the goroutine of the exchanges uses it.
 	replicaLoadsKnown bool
