gateway: the retry slack counts two seconds after a fleet's first start

On a first start no former process can have used the slack, so only the other VMs must be known. It counts as one if the settings say so and the store has no record of an engine's owner; a flag that stays set over a restart changes nothing.

--- a/internal/fleet/keeper.go
+++ b/internal/fleet/keeper.go
@@ -194,6 +194,13 @@
 	return k.table.KnownVMs()
 }
 
+// HasOwners reports whether a VM owns an engine, or did when it ended.
+func (k *Keeper) HasOwners() bool {
+	k.mu.RLock()
+	defer k.mu.RUnlock()
+	return k.table.HasOwners()
+}
+
 // Member returns a member by its VM, including a former one without a key.
 func (k *Keeper) Member(name string) (Member, bool) {
 	k.mu.RLock()
--- a/internal/fleet/table.go
+++ b/internal/fleet/table.go
@@ -295,6 +295,16 @@
 	return len(names)
 }
 
+// HasOwners reports whether there is a record of an engine.
+func (t *Table) HasOwners() bool {
+	for _, e := range t.engines {
+		if e.Member != "" {
+			return true
+		}
+	}
+	return false
+}
+
 // Owner returns the member that orders an engine, if it is known. Its member
 // key may be absent.
 func (t *Table) Owner(id string) (Member, bool) {
--- a/internal/gateway/apply.go
+++ b/internal/gateway/apply.go
@@ -52,7 +52,9 @@
 		}
 	}
 	g.keeper.Apply(changes, revision)
-	g.softwareSeenFrom.CompareAndSwap(0, int64(clock.Boot()))
+	if g.softwareSeenFrom.CompareAndSwap(0, int64(clock.Boot())) && g.settings.Load().FirstStart && !g.keeper.HasOwners() {
+		g.budgets.beginFirstStart()
+	}
 	if g.firstReadApplied.Swap(true) && !isNewEra {
 		// The first read of an era is not forwarded: the other daemons make it too.
 		g.forwardChanges(forwarded)
--- a/internal/gateway/budgets.go
+++ b/internal/gateway/budgets.go
@@ -15,17 +15,23 @@
 	// budgetWindowFactor lengthens the window, because it expires in whole
 	// slices.
 	budgetWindowFactor = 1.1
+	// firstStartTime is how long the daemons of a fleet that starts for the first time may
+	// take to learn of each other.
+	firstStartTime = 2 * time.Second
 )
 
 // budgets holds this daemon's share of the retry budget of each service. The
 // shares add up to the bound without communication between daemons: each gets
 // the ratio of its own requests and an equal part of the slack. A daemon that has
 // just started takes no part of the slack for one window: an earlier process of
-// the VM may have used it, and the number of daemons is not known yet.
+// the VM may have used it, and the number of daemons is not known yet. If the fleet
+// starts for the first time, the latter is all that is waited for.
 type budgets struct {
 	mu        sync.Mutex // guards the fields below; not held during I/O
 	settings  BudgetSettings
 	startedAt time.Time
+	// slackFrom is from when on the daemon's part of the slack counts.
+	slackFrom time.Time
 	members   int
 	services  map[string]*limit.RetryBudget
 }
@@ -33,7 +39,25 @@
 // newBudgets returns the budgets of a daemon that starts at a time, by the clock of the
 // budgets' calls.
 func newBudgets(settings BudgetSettings, startedAt time.Time) *budgets {
-	return &budgets{settings: settings, startedAt: startedAt, members: 1, services: make(map[string]*limit.RetryBudget)}
+	b := &budgets{settings: settings, startedAt: startedAt, members: 1, services: make(map[string]*limit.RetryBudget)}
+	b.slackFrom = startedAt.Add(b.window())
+	return b
+}
+
+// window returns the length of the budgets' windows.
+func (b *budgets) window() time.Duration {
+	return time.Duration(float64(b.settings.Window) * budgetWindowFactor)
+}
+
+// beginFirstStart makes the slack count from firstStartTime after the start: there was no
+// process of this VM before.
+func (b *budgets) beginFirstStart() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.slackFrom = b.startedAt.Add(firstStartTime)
+	for _, budget := range b.services {
+		budget.SetMinRetriesFrom(b.slackFrom)
+	}
 }
 
 // of returns the budget of a service.
@@ -50,12 +74,11 @@
 
 // build returns an empty budget. The caller holds mu, which guards the settings.
 func (b *budgets) build() *limit.RetryBudget {
-	window := time.Duration(float64(b.settings.Window) * budgetWindowFactor)
 	budget, err := limit.NewRetryBudget(limit.RetryBudgetConfig{
 		Ratio:          b.settings.Ratio * budgetMargin,
-		Window:         window,
+		Window:         b.window(),
 		MinRetries:     b.minRetries(),
-		MinRetriesFrom: b.startedAt.Add(window),
+		MinRetriesFrom: b.slackFrom,
 	})
 	if err != nil {
 		// Settings.Check and the constants above rule this out.
--- a/internal/gateway/budgets_test.go
+++ b/internal/gateway/budgets_test.go
@@ -14,7 +14,7 @@
 		requestsPerVMPerTick     int
 		restartAt, allKnownAfter time.Duration
 	}{
-		{"first start", 77, 1, 0, time.Second},
+		{"first start", 77, 1, 0, firstStartTime},
 		{"restart while retries are made", 77, 1, 12 * time.Second, time.Second},
 		{"restart of a small fleet", 9, 2, 12 * time.Second, time.Second},
 		{"others are seen late", 77, 0, 12 * time.Second, 6 * time.Second},
@@ -31,6 +31,9 @@
 				if now == 0 || now == test.restartAt {
 					for i := range vms {
 						vms[i] = newBudgets(settings, at)
+						if test.restartAt == 0 {
+							vms[i].beginFirstStart()
+						}
 					}
 				}
 				known := min(1, float64(now-test.restartAt+tick)/float64(test.allKnownAfter))
--- a/internal/limit/budget.go
+++ b/internal/limit/budget.go
@@ -28,7 +28,7 @@
 type RetryBudget struct {
 	config RetryBudgetConfig
 
-	// mu guards slices and config.MinRetries. It is held for a few instructions
+	// mu guards slices, config.MinRetries and config.MinRetriesFrom. It is held for a few instructions
 	// and never while another lock is taken.
 	mu     sync.Mutex
 	slices [budgetSlices]budgetSlice
@@ -62,6 +62,13 @@
 	b.config.MinRetries = max(retries, 0)
 }
 
+// SetMinRetriesFrom changes from when on MinRetries counts.
+func (b *RetryBudget) SetMinRetriesFrom(from time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.config.MinRetriesFrom = from
+}
+
 // Deposit counts one call that adds to the budget: a success, or any first
 // attempt where failures are not caused by the callee.
 func (b *RetryBudget) Deposit(now time.Time) {
