--- a/internal/fleet/keeper.go
+++ b/internal/fleet/keeper.go
@@ -194,11 +194,11 @@
 	return k.table.KnownVMs()
 }
 
-// HasOwners reports whether a VM owns an engine, or did when it ended.
-func (k *Keeper) HasOwners() bool {
+// HadProcess reports whether there is a trace of an earlier process of this VM.
+func (k *Keeper) HadProcess() bool {
 	k.mu.RLock()
 	defer k.mu.RUnlock()
-	return k.table.HasOwners()
+	return k.table.HadProcess()
 }
 
 // Member returns a member by its VM, including a former one without a key.
--- a/internal/fleet/table.go
+++ b/internal/fleet/table.go
@@ -295,10 +295,14 @@
 	return len(names)
 }
 
-// HasOwners reports whether there is a record of an engine.
-func (t *Table) HasOwners() bool {
+// HadProcess reports whether there is a trace of an earlier process of this VM: its member
+// key, or an engine that it owned.
+func (t *Table) HadProcess() bool {
+	if m, ok := t.members[t.self.Name]; ok && m.Incarnation != t.self.Incarnation {
+		return true
+	}
 	for _, e := range t.engines {
-		if e.Member != "" {
+		if e.Member == t.self.Name && e.Incarnation != t.self.Incarnation {
 			return true
 		}
 	}
--- a/internal/gateway/apply.go
+++ b/internal/gateway/apply.go
@@ -52,7 +52,7 @@
 		}
 	}
 	g.keeper.Apply(changes, revision)
-	if g.softwareSeenFrom.CompareAndSwap(0, int64(clock.Boot())) && g.settings.Load().FirstStart && !g.keeper.HasOwners() {
+	if g.softwareSeenFrom.CompareAndSwap(0, int64(clock.Boot())) && g.settings.Load().FirstStart && !g.keeper.HadProcess() {
 		g.budgets.beginFirstStart()
 	}
 	if g.firstReadApplied.Swap(true) && !isNewEra {
