review: a fifth script of part one, a watch's answer of over 8 MiB

5: CONFIG, a machine that was frozen for 4 s while 11 configurations of 788 kB came gets none any more, and sends requests to the old service.

--- a/review/_src/cases/main.go
+++ b/review/_src/cases/main.go
@@ -11,6 +11,7 @@
 	cases := map[string]func(dir string, trouble bool) (broken bool, err error){
 		"watch-cut":   watchCut,
 		"slow-reader": slowReader,
+		"long-watch":  longWatch,
 		"old-copy":    oldCopy,
 		"big-bodies":  bigBodies,
 	}
--- a/review/_src/kit/replica.go
+++ b/review/_src/kit/replica.go
@@ -42,6 +42,7 @@
 // Replica is a replica of the plain service.
 type Replica struct {
 	ID         string
+	Service    string
 	deployment *Deployment
 	address    string
 	born       int64
@@ -87,7 +88,12 @@
 
 // StartReplica starts a replica that answers each request after work with body, and registers.
 func (d *Deployment) StartReplica(id string, work time.Duration, body func(id string) []byte) (*Replica, error) {
-	r := &Replica{ID: id, deployment: d, born: time.Now().UnixMilli(), work: work, body: body, leaving: make(chan struct{})}
+	return d.StartReplicaOf(Service, id, work, body)
+}
+
+// StartReplicaOf is like StartReplica, for a service.
+func (d *Deployment) StartReplicaOf(service, id string, work time.Duration, body func(id string) []byte) (*Replica, error) {
+	r := &Replica{ID: id, Service: service, deployment: d, born: time.Now().UnixMilli(), work: work, body: body, leaving: make(chan struct{})}
 	var err error
 	if r.address, err = d.Serve(http.HandlerFunc(r.serve)); err != nil {
 		return nil, err
@@ -109,7 +115,7 @@
 		default:
 		}
 		r.deployment.Store.Put("servers/"+r.ID, Must(Object{
-			"service": Service, "address": r.address, "zone": "z", "version": "v1", "slots": 6, "state": "ready", "cold_left_ms": 0, "seq": r.seq.Load(), "born": r.born,
+			"service": r.Service, "address": r.address, "zone": "z", "version": "v1", "slots": 6, "state": "ready", "cold_left_ms": 0, "seq": r.seq.Load(), "born": r.born,
 		}))
 		r.mu.Unlock()
 		select {
