--- a/review/_src/kit/kit.go
+++ b/review/_src/kit/kit.go
@@ -223,6 +223,9 @@
 func (d *Daemon) Signal(s syscall.Signal) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if d.command == nil {
+		return // it could not be started
+	}
 	select {
 	case <-d.exited:
 	default:
@@ -254,7 +257,9 @@
 	d.mu.Lock()
 	exited := d.exited
 	d.mu.Unlock()
-	<-exited
+	if exited != nil {
+		<-exited
+	}
 }
 
 // Kill ends the process.
--- a/review/_src/kit/replica.go
+++ b/review/_src/kit/replica.go
@@ -58,6 +58,15 @@
 	// readBytes of a body are read every readEvery; 0 for all at once.
 	readBytes int64
 	readEvery time.Duration
+	// arrived holds the requests whose heads have arrived.
+	arrived map[string]bool
+}
+
+// HasArrived reports whether the head of a request has arrived.
+func (r *Replica) HasArrived(id string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.arrived[id]
 }
 
 // ReadSlowly makes the replica read n bytes of each request's body at a time.
@@ -93,7 +102,7 @@
 
 // StartReplicaOf is like StartReplica, for a service.
 func (d *Deployment) StartReplicaOf(service, id string, work time.Duration, body func(id string) []byte) (*Replica, error) {
-	r := &Replica{ID: id, Service: service, deployment: d, born: time.Now().UnixMilli(), work: work, body: body, leaving: make(chan struct{})}
+	r := &Replica{ID: id, Service: service, deployment: d, born: time.Now().UnixMilli(), work: work, body: body, leaving: make(chan struct{}), arrived: make(map[string]bool)}
 	var err error
 	if r.address, err = d.Serve(http.HandlerFunc(r.serve)); err != nil {
 		return nil, err
@@ -163,6 +172,9 @@
 		return
 	}
 	arrived := time.Now()
+	r.mu.Lock()
+	r.arrived[id] = true
+	r.mu.Unlock()
 	if err := r.readBody(request.Body); err != nil {
 		return
 	}
