limit: a retry counts for the whole window

Callers may see more repeated sends than the retry budget allows. The window of a RetryBudget expired in whole slices, the one in progress among them, so it covered nine to ten tenths of its length, and what was sent at the end of a slice was forgotten early. The gateway's window was a tenth longer to make up for that, which left 9.9 to 11 s of the 10 s that count. On one machine all processes have the same clock, so all of them forget at the same moment.

A slice more is kept, so that the window is never shorter than it says; the gateway's factor is gone.

TestRetriesOfEachWindowStayWithinTheBudget failed before (a retry allowed again 9.9 s after the budget was used up, 10 s wanted) and passes. That this was seen by the users is not shown: a tenth of a second per window can add few repeats.

--- a/internal/gateway/budgets.go
+++ b/internal/gateway/budgets.go
@@ -12,9 +12,6 @@
 	// budgetMargin keeps the sum of all daemons' shares below the bound while
 	// their views of the number of daemons differ.
 	budgetMargin = 0.8
-	// budgetWindowFactor lengthens the window, because it expires in whole
-	// slices.
-	budgetWindowFactor = 1.1
 	// firstStartTime is how long the daemons of a fleet that starts for the first time may
 	// take to learn of each other.
 	firstStartTime = 2 * time.Second
@@ -40,15 +37,10 @@
 // budgets' calls.
 func newBudgets(settings BudgetSettings, startedAt time.Time) *budgets {
 	b := &budgets{settings: settings, startedAt: startedAt, members: 1, services: make(map[string]*limit.RetryBudget)}
-	b.slackFrom = startedAt.Add(b.window())
+	b.slackFrom = startedAt.Add(settings.Window)
 	return b
 }
 
-// window returns the length of the budgets' windows.
-func (b *budgets) window() time.Duration {
-	return time.Duration(float64(b.settings.Window) * budgetWindowFactor)
-}
-
 // beginFirstStart makes the slack count from firstStartTime after the start: there was no
 // process of this VM before.
 func (b *budgets) beginFirstStart() {
@@ -76,7 +68,7 @@
 func (b *budgets) build() *limit.RetryBudget {
 	budget, err := limit.NewRetryBudget(limit.RetryBudgetConfig{
 		Ratio:          b.settings.Ratio * budgetMargin,
-		Window:         b.window(),
+		Window:         b.settings.Window,
 		MinRetries:     b.minRetries(),
 		MinRetriesFrom: b.slackFrom,
 	})
--- a/internal/limit/budget.go
+++ b/internal/limit/budget.go
@@ -7,14 +7,15 @@
 )
 
 // budgetSlices is the number of slices that the window of a RetryBudget is
-// divided into. Events expire one slice at a time.
+// divided into. Events expire one slice at a time, once the whole window has passed.
 const budgetSlices = 10
 
 // RetryBudgetConfig holds the limits of a RetryBudget.
 type RetryBudgetConfig struct {
 	// Ratio is the number of retries allowed per deposited call within the window.
 	Ratio float64
-	// Window is how long a deposited call or a retry counts.
+	// Window is how long a deposited call or a retry counts at least; it counts for
+	// a slice more at most.
 	Window time.Duration
 	// MinRetries is the number of retries allowed within the window without
 	// any deposited call. It counts from MinRetriesFrom on.
@@ -31,7 +32,7 @@
 	// mu guards slices, config.MinRetries and config.MinRetriesFrom. It is held for a few instructions
 	// and never while another lock is taken.
 	mu     sync.Mutex
-	slices [budgetSlices]budgetSlice
+	slices [budgetSlices + 1]budgetSlice
 }
 
 // budgetSlice counts the events of one slice of the window.
@@ -121,7 +122,7 @@
 	current := b.currentSlice(now)
 	var u Usage
 	for _, s := range b.slices {
-		if s.index > current.index-budgetSlices && s.index <= current.index {
+		if s.index >= current.index-budgetSlices && s.index <= current.index {
 			u.Deposits += s.deposits
 			u.Retries += s.retries
 		}
@@ -137,7 +138,7 @@
 // an earlier window. The caller holds mu.
 func (b *RetryBudget) currentSlice(now time.Time) *budgetSlice {
 	index := now.UnixNano() / int64(b.config.Window/budgetSlices)
-	s := &b.slices[index%budgetSlices]
+	s := &b.slices[index%int64(len(b.slices))]
 	if s.index != index {
 		*s = budgetSlice{index: index}
 	}
--- a/internal/limit/budget_test.go
+++ b/internal/limit/budget_test.go
@@ -32,3 +32,22 @@
 		t.Errorf("after the window: %d retries, want the minimum of 1", got)
 	}
 }
+
+// Retries at the end of a slice are not forgotten before the window has passed.
+func TestRetriesOfEachWindowStayWithinTheBudget(t *testing.T) {
+	const window, minRetries = 10 * time.Second, 4
+	for first := time.Duration(0); first < 2*time.Second; first += 100 * time.Millisecond {
+		budget, err := NewRetryBudget(RetryBudgetConfig{Window: window, MinRetries: minRetries})
+		if err != nil {
+			t.Fatal(err)
+		}
+		start := time.Unix(1000, 0).Add(first)
+		for at := start; at.Before(start.Add(window)); at = at.Add(50 * time.Millisecond) {
+			for budget.Allow(at) {
+				if at.After(start) {
+					t.Fatalf("used up at %v of a slice, a retry is allowed again after %v, want %v", first, at.Sub(start), window)
+				}
+			}
+		}
+	}
+}
