relay: a repeated send counts for the retry budget when it is sent

What was decided in one window and waited arrived together with what was decided in the next. On the other hand a repeat that its engine declined was charged again at each choice.

A repeat that is decided is reserved, which keeps its place in the budget for as long as it waits, and counts from just before its first byte, if the budget still allows it then. One that isn't sent gives its place back. The log has a second line, at the send, with the time that it has waited, so that decisions, sends and arrivals can be compared.

--- a/internal/limit/budget.go
+++ b/internal/limit/budget.go
@@ -24,15 +24,18 @@
 }
 
 // RetryBudget bounds retries to a ratio of the recent deposited calls, so that
-// retries cannot multiply the load on an upstream that fails as a whole. It is
-// safe for concurrent use.
+// retries cannot multiply the load on an upstream that fails as a whole. A retry
+// counts from when it is made. One that is decided before, and has to wait, is reserved
+// until then. It is safe for concurrent use.
 type RetryBudget struct {
 	config RetryBudgetConfig
 
-	// mu guards slices, config.MinRetries and config.MinRetriesFrom. It is held for a few instructions
+	// mu guards slices, reserved, config.MinRetries and config.MinRetriesFrom. It is held for a few instructions
 	// and never while another lock is taken.
 	mu     sync.Mutex
 	slices [budgetSlices + 1]budgetSlice
+	// reserved is the number of retries that are decided and not made.
+	reserved int
 }
 
 // budgetSlice counts the events of one slice of the window.
@@ -89,9 +92,61 @@
 	return true
 }
 
+// ReservedRetry is a retry that is decided and not made. Use or Cancel ends it. It is not
+// safe for concurrent use.
+type ReservedRetry struct {
+	budget *RetryBudget
+	ended  bool
+}
+
+// Reserve reserves one more retry if it is within the budget, and returns nil otherwise.
+func (b *RetryBudget) Reserve(now time.Time) *ReservedRetry {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if !b.available(now) {
+		return nil
+	}
+	b.reserved++
+	return &ReservedRetry{budget: b}
+}
+
+// Use counts the retry, which is made now. It returns false, and counts nothing, if the budget
+// no longer allows the retry: deposits expire while it waits.
+func (r *ReservedRetry) Use(now time.Time) bool {
+	b := r.budget
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.release(r)
+	if u := b.usage(now); u.Retries >= u.Allowed {
+		return false
+	}
+	b.currentSlice(now).retries++
+	return true
+}
+
+// Cancel gives the reservation back, unless it has ended. r may be nil.
+func (r *ReservedRetry) Cancel() {
+	if r == nil {
+		return
+	}
+	r.budget.mu.Lock()
+	defer r.budget.mu.Unlock()
+	r.budget.release(r)
+}
+
+// release ends a reservation. The caller holds mu.
+func (b *RetryBudget) release(r *ReservedRetry) {
+	if !r.ended {
+		r.ended = true
+		b.reserved--
+	}
+}
+
 // Usage is what a RetryBudget has counted within its window.
 type Usage struct {
 	Deposits, Retries int
+	// Reserved is the number of retries that are decided and not made.
+	Reserved int
 	// Allowed is the number of retries that the deposits allow, with MinRetries.
 	Allowed int
 }
@@ -114,13 +169,13 @@
 // available implements Available. The caller holds mu.
 func (b *RetryBudget) available(now time.Time) bool {
 	u := b.usage(now)
-	return u.Retries < u.Allowed
+	return u.Retries+u.Reserved < u.Allowed
 }
 
 // usage implements Usage. The caller holds mu.
 func (b *RetryBudget) usage(now time.Time) Usage {
 	current := b.currentSlice(now)
-	var u Usage
+	u := Usage{Reserved: b.reserved}
 	for _, s := range b.slices {
 		if s.index >= current.index-budgetSlices && s.index <= current.index {
 			u.Deposits += s.deposits
--- a/internal/limit/budget_test.go
+++ b/internal/limit/budget_test.go
@@ -51,3 +51,30 @@
 		}
 	}
 }
+
+func TestReservedRetryCountsWhenItIsMade(t *testing.T) {
+	budget, err := NewRetryBudget(RetryBudgetConfig{Ratio: 0.5, Window: 10 * time.Second, MinRetries: 1})
+	if err != nil {
+		t.Fatal(err)
+	}
+	now := time.Unix(1000, 0)
+	budget.Deposit(now)
+	budget.Deposit(now)
+	kept, canceled := budget.Reserve(now), budget.Reserve(now)
+	if kept == nil || canceled == nil || budget.Reserve(now) != nil || budget.Available(now) {
+		t.Fatal("want two retries reserved, and no more")
+	}
+	canceled.Cancel()
+	canceled.Cancel()
+	expired := budget.Reserve(now)
+	now = now.Add(12 * time.Second)
+	if budget.Available(now) {
+		t.Error("reserved retries no longer count after the window")
+	}
+	if !kept.Use(now) || budget.Usage(now).Retries != 1 {
+		t.Errorf("usage %+v, want the retry to count from now", budget.Usage(now))
+	}
+	if expired.Use(now) {
+		t.Error("a retry was made for deposits that have expired")
+	}
+}
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -10,6 +10,7 @@
 
 	"github.com/barleylift/barleylift/internal/clock"
 	"github.com/barleylift/barleylift/internal/hop"
+	"github.com/barleylift/barleylift/internal/limit"
 	"github.com/barleylift/barleylift/internal/quarantine"
 	"github.com/barleylift/barleylift/internal/routing"
 	"github.com/barleylift/barleylift/internal/topology"
@@ -49,6 +50,10 @@
 	possibleRuns int
 	// deposited is set once the request counts for the retry budget.
 	deposited bool
+	// reservation is the next send's in the retry budget, decided at reservedAt by clock.Boot;
+	// nil if it needs none or is not decided.
+	reservation *limit.ReservedRetry
+	reservedAt  time.Duration
 	// carriers lists the connections of earlier sends.
 	carriers []hop.ConnID
 	// refusedBy lists the upstreams that have refused the request.
@@ -152,7 +157,7 @@
 func (e *exchange) deposit() {
 	if !e.deposited {
 		e.deposited = true
-		e.relay.config.Budget(e.service.Name).Deposit(monotonicNow())
+		e.relay.config.Budget(e.service.Name).Deposit(e.relay.config.Now())
 	}
 }
 
@@ -160,6 +165,7 @@
 // response is incomplete.
 func (e *exchange) finish() {
 	e.cancel()
+	e.reservation.Cancel()
 	e.learnCost()
 	e.returnTokens()
 	took := time.Since(e.arrivedAt)
@@ -262,29 +268,58 @@
 	return e.possibleRuns == 0 || e.route.Idempotent() && e.possibleRuns < e.route.MaxAttempts
 }
 
-// allowResend reports whether the request may be sent again. It consumes retry
-// budget if bytes of the request may have reached an upstream before.
+// allowResend reports whether the request may be sent again. If bytes of the request may have
+// reached an upstream before, it reserves the send in the retry budget, unless a send that was
+// reserved has not been made.
 func (e *exchange) allowResend(reason string) bool {
 	if !e.mayRunAgain() {
 		return false
 	}
-	if e.sends == 0 {
+	if e.sends == 0 || e.reservation != nil {
 		return true
 	}
 	budget := e.relay.config.Budget(e.service.Name)
-	allowed := budget.Allow(monotonicNow())
-	usage := budget.Usage(monotonicNow())
+	now := e.relay.config.Now()
+	e.reservation = budget.Reserve(now)
+	e.reservedAt = clock.Boot()
+	allowed := e.reservation != nil
 	e.relay.config.Metrics.RepeatDecided(e.service.Name, allowed)
 	e.relay.log.Info("request is to be sent again", "id", e.call.ID, "service", e.service.Name, "to", reason, "sends", e.sends, "allowed", allowed,
-		"budget", slog.GroupValue(slog.Int("requests", usage.Deposits), slog.Int("repeats", usage.Retries), slog.Int("bound", usage.Allowed)))
+		budgetAttribute(budget.Usage(now)))
 	if !allowed {
-		e.reason = "the budget for repeated sends is used up"
+		e.reason = reasonBudgetUsed
 		return false
 	}
 	e.relay.config.Metrics.RepeatedSend(e.service.Name, reason)
 	return true
 }
 
+const reasonBudgetUsed = "the budget for repeated sends is used up"
+
+// errBudgetUsed ends a send before its first byte: the retry budget no longer allows it.
+var errBudgetUsed = errors.New(reasonBudgetUsed)
+
+// useReservation counts a repeated send in the retry budget, just before its first byte.
+func (e *exchange) useReservation() error {
+	reservation := e.reservation
+	if reservation == nil {
+		return nil
+	}
+	e.reservation = nil
+	now := e.relay.config.Now()
+	allowed := reservation.Use(now)
+	e.relay.log.Info("request is sent again", "id", e.call.ID, "service", e.service.Name, "sends", e.sends, "waited_ms", (clock.Boot() - e.reservedAt).Milliseconds(),
+		"allowed", allowed, budgetAttribute(e.relay.config.Budget(e.service.Name).Usage(now)))
+	if !allowed {
+		return errBudgetUsed
+	}
+	return nil
+}
+
+func budgetAttribute(usage limit.Usage) slog.Attr {
+	return slog.Group("budget", "requests", usage.Deposits, "repeats", usage.Retries, "reserved", usage.Reserved, "bound", usage.Allowed)
+}
+
 // monotonicNow returns a time for budget windows that is unaffected by changes
 // of the wall clock.
 func monotonicNow() time.Time {
@@ -378,7 +413,7 @@
 	if _, ok := e.relay.config.Locator.Upstream(upstream.ID, granted); !ok {
 		return errNotTaken
 	}
-	return nil
+	return e.useReservation()
 }
 
 // exchangeOver sends a request over a connection of a pool and reads the head of the
--- a/internal/relay/model.go
+++ b/internal/relay/model.go
@@ -370,6 +370,10 @@
 	if errors.Is(result.err, errKeysChanged) || errors.Is(result.err, errNotFresh) || errors.Is(result.err, errTokensOld) {
 		return false
 	}
+	if errors.Is(result.err, errBudgetUsed) {
+		e.giveUp(http.StatusBadGateway, retryAfterBudget, reasonBudgetUsed)
+		return true
+	}
 	if errors.Is(result.err, errNotTaken) {
 		e.relay.log.Info("upstream takes no request any more, choosing another", "id", e.call.ID, "upstream", upstream.ID)
 		e.tried = append(e.tried, upstream.ID)
@@ -458,7 +462,7 @@
 // resendBudgetAvailable reports whether the retry budget allows one more send,
 // without consuming it.
 func (e *exchange) resendBudgetAvailable() bool {
-	return e.relay.config.Budget(e.service.Name).Available(monotonicNow())
+	return e.relay.config.Budget(e.service.Name).Available(e.relay.config.Now())
 }
 
 func (e *exchange) endBroken(reason string) bool {
--- a/internal/relay/pass_on.go
+++ b/internal/relay/pass_on.go
@@ -126,7 +126,7 @@
 	}
 	response, failed := e.exchangeOver(ctx, pool, &hop.Request{
 		Method: e.call.Method, Target: e.call.Target, Host: e.call.Host, Header: protocol.PassOnHeader(e.call, params), Body: e.body,
-	}, e.checkKey)
+	}, e.lastCheckOfPassOn)
 	if response == nil {
 		return failed
 	}
@@ -143,6 +143,15 @@
 	return result
 }
 
+// lastCheckOfPassOn returns why the request must not be passed on any more, just before the
+// first byte.
+func (e *exchange) lastCheckOfPassOn() error {
+	if err := e.checkKey(); err != nil {
+		return err
+	}
+	return e.useReservation()
+}
+
 // handleVMRefusal ends a request that another VM has refused as not run, unless a third one
 // may serve it. It reports whether the request has ended.
 func (e *exchange) handleVMRefusal(result sendResult) bool {
--- a/internal/relay/pass_on_test.go
+++ b/internal/relay/pass_on_test.go
@@ -150,7 +150,7 @@
 			peers.cutOff.Store(test.cutOff)
 			r.config.Peers, r.config.Protocol = peers, passOnProtocol{}
 			r.serve(httptest.NewRecorder(), keyedRequest("/p/", strings.NewReader("tick")), test.passedOn)
-			if got := r.config.Budget("api").Usage(monotonicNow()).Deposits; got != test.want {
+			if got := r.config.Budget("api").Usage(r.config.Now()).Deposits; got != test.want {
 				t.Errorf("counted %d times, want %d", got, test.want)
 			}
 		})
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -114,8 +114,10 @@
 	Protocol Protocol
 	Locator  *locator.Locator
 	Pools    Pools
-	// Budget returns the retry budget of a service.
+	// Budget returns the retry budget of a service. Now is the clock of its windows; nil for
+	// clock.Boot, which changes of the wall clock don't affect.
 	Budget     func(service string) *limit.RetryBudget
+	Now        func() time.Time
 	Metrics    Metrics
 	Origins    Origins
 	Quarantine Quarantine
@@ -151,6 +153,9 @@
 	if config.Protocol == nil || config.Locator == nil || config.Pools == nil || config.Budget == nil || config.Metrics == nil || config.Origins == nil || config.Quarantine == nil || config.Peers == nil || config.Freshness == nil || config.Quotas == nil || config.Places == nil || config.Observe == nil || config.Log == nil {
 		return nil, errors.New("relay: a dependency is missing")
 	}
+	if config.Now == nil {
+		config.Now = monotonicNow
+	}
 	return &Relay{config: config, log: config.Log.With("part", "relay"), estimates: newEstimates()}, nil
 }
 
