relay: requests in flight at the end of a planned stop get an answer

New requests were refused from 3 s after SIGTERM, but one that had been taken before waited for its engine for as long as its caller does, was sent whenever it got its turn, and everything still in flight ended with the process.

The relay now knows when the daemon ends. It estimates how long requests of a route usually take at upstreams, and in a shutdown sends none that would outlast the daemon: such a request is refused as not run with a short Retry-After, also while it waits for admission, so that its caller goes to another VM. What is in flight 400 ms before the end of the grace gets an answer of the daemon's own: 502 if it may have run, 503 if it was never sent. A stream that has begun goes on until then.

Evidence: TestRequestsThatOutlastThePlannedStopGetAnAnswer fails without the change (EOF for all three kinds, once the daemon closes its connections as the end of its process does) and passes.

--- a/internal/gateway/drain.go
+++ b/internal/gateway/drain.go
@@ -16,8 +16,10 @@
 	// stop, to refuse late requests immediately.
 	lingerPeriod = 5 * time.Second
 	// graceMargin is the time left at the end of the grace period, before the
-	// process is killed.
-	graceMargin = 400 * time.Millisecond
+	// process is killed. In its first part, answerPeriod, the requests that are still in
+	// flight get an answer.
+	graceMargin  = 400 * time.Millisecond
+	answerPeriod = 200 * time.Millisecond
 	// drainPollInterval is the time between two checks of the requests in flight.
 	drainPollInterval = 50 * time.Millisecond
 	// leaveTimeout bounds the call that ends the lease.
@@ -26,13 +28,14 @@
 
 // drain shuts the daemon down gracefully: it announces the shutdown at once,
 // accepts requests while callers may still send some, and returns when all are
-// answered or the grace period is over.
+// answered or the grace period is over. Those that are still in flight then are
+// answered by the daemon itself.
 func (g *Gateway) drain(servers *servers) {
 	started := time.Now()
 	grace := g.settings.Load().Grace
 	end := started.Add(grace - graceMargin)
 	g.draining.Store(true)
-	g.relay.Drain()
+	g.relay.Drain(grace - graceMargin)
 	g.log.Info("daemon draining", "in_flight", g.relay.InFlight(), "grace_ms", grace.Milliseconds())
 	go g.releaseEngines(end)
 	g.sendHeartbeatsToAll()
@@ -44,7 +47,8 @@
 		time.Sleep(drainPollInterval)
 	}
 	g.log.Info("daemon drained", "in_flight", g.relay.InFlight(), "took_ms", time.Since(started).Milliseconds())
-	ctx, cancel := context.WithDeadline(context.Background(), end)
+	g.relay.End()
+	ctx, cancel := context.WithDeadline(context.Background(), end.Add(answerPeriod))
 	defer cancel()
 	servers.shutdown(ctx)
 	leaveCtx, cancelLeave := context.WithTimeout(context.Background(), leaveTimeout)
--- a/internal/gateway/servers.go
+++ b/internal/gateway/servers.go
@@ -93,6 +93,7 @@
 	for _, srv := range s.list {
 		if err := srv.http.Shutdown(ctx); err != nil {
 			s.gateway.log.Warn("server shutdown ended with requests in flight", "name", srv.name, "error", err)
+			_ = srv.http.Close() // the end of the process does the same
 		}
 	}
 }
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -38,7 +38,7 @@
 	keyTable *routing.Table
 	// tokens are those that the request has taken from the customer's quota; nil for none.
 	tokens *takenTokens
-	// ctx is done when the caller disconnects or the deadline passes.
+	// ctx is done when the caller disconnects, the deadline passes or the daemon ends.
 	ctx    context.Context
 	cancel context.CancelFunc
 	// deadline is the earlier of the caller's and the route's timeout.
@@ -136,7 +136,12 @@
 		lastEventID: call.LastEventID,
 	}
 	e.service = table.Service(route.PickService(call.ID))
-	e.ctx, e.cancel = context.WithDeadline(request.Context(), e.deadline)
+	ctx, cancel := context.WithDeadline(request.Context(), e.deadline)
+	stop := context.AfterFunc(relay.ending.over, cancel)
+	e.ctx, e.cancel = ctx, func() {
+		stop()
+		cancel()
+	}
 	return e
 }
 
@@ -169,6 +174,9 @@
 	e.learnCost()
 	e.returnTokens()
 	took := time.Since(e.arrivedAt)
+	if e.outcome == outcomeAnswered && e.status/100 == 2 {
+		e.relay.runTimes.record(e.route.Name, clock.Boot()-e.sentAt)
+	}
 	e.relay.config.Metrics.RequestEnded(e.route.Name, e.outcome, took)
 	if e.call.LastEventID != "" {
 		e.relay.log.Info("request resumes a stream", "id", e.call.ID, "first_try", e.call.FirstTry, "last_event", e.call.LastEventID, "software", e.softwareVersion)
@@ -216,13 +224,17 @@
 	return time.Until(e.deadline)
 }
 
-// endIfExpired ends the request if the caller has disconnected or the deadline
-// has passed, and reports whether it did.
+// endIfExpired ends the request if the caller has disconnected, the deadline has
+// passed or the daemon ends, and reports whether it did.
 func (e *exchange) endIfExpired() bool {
 	if callerDisconnected(e.request) {
 		e.outcome = outcomeCallerLeft
 		return true
 	}
+	if e.relay.ending.over.Err() != nil {
+		e.giveUp(http.StatusBadGateway, retryAfterEnding, errEnding.Error())
+		return true
+	}
 	if e.timeLeft() > 0 {
 		return false
 	}
@@ -398,6 +410,9 @@
 // first byte: there was none when the upstream was selected, but the connection may have
 // taken a while.
 func (e *exchange) lastCheck(upstream topology.Upstream, granted bool) error {
+	if e.endsTooSoon() {
+		return errEnding
+	}
 	if !e.keysUsable() {
 		return errNotFresh
 	}
--- a/internal/relay/model.go
+++ b/internal/relay/model.go
@@ -75,7 +75,7 @@
 // request has ended.
 func (e *exchange) serveModel() {
 	e.estimateCost()
-	for !e.endIfExpired() && !e.endIfKeyRevoked() {
+	for !e.endIfExpired() && !e.endIfTooLateToSend() && !e.endIfKeyRevoked() {
 		if handled, ended := e.passOn(); ended {
 			return
 		} else if handled {
@@ -134,6 +134,7 @@
 	ticket = engines.NewTicket()
 	ctx, cancel := e.admissionContext()
 	defer cancel()
+	defer e.cancelWhenTooLateToSend(ctx, cancel)()
 	reconsiderAfter := maxAdmissionWait
 	if choice.NeedsLoad {
 		reconsiderAfter = 0
@@ -370,6 +371,9 @@
 	if errors.Is(result.err, errKeysChanged) || errors.Is(result.err, errNotFresh) || errors.Is(result.err, errTokensOld) {
 		return false
 	}
+	if errors.Is(result.err, errEnding) {
+		return e.endIfTooLateToSend()
+	}
 	if errors.Is(result.err, errBudgetUsed) {
 		e.giveUp(http.StatusBadGateway, retryAfterBudget, reasonBudgetUsed)
 		return true
--- a/internal/relay/pass_on.go
+++ b/internal/relay/pass_on.go
@@ -146,6 +146,9 @@
 // lastCheckOfPassOn returns why the request must not be passed on any more, just before the
 // first byte.
 func (e *exchange) lastCheckOfPassOn() error {
+	if e.endsTooSoon() {
+		return errEnding
+	}
 	if err := e.checkKey(); err != nil {
 		return err
 	}
--- a/internal/relay/plain.go
+++ b/internal/relay/plain.go
@@ -33,7 +33,7 @@
 // request has ended.
 func (e *exchange) servePlain() {
 	rounds := 0
-	for !e.endIfExpired() && !e.endIfKeyRevoked() {
+	for !e.endIfExpired() && !e.endIfTooLateToSend() && !e.endIfKeyRevoked() {
 		if handled, ended := e.passOn(); ended {
 			return
 		} else if handled {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -146,6 +146,8 @@
 	passedOn   atomic.Int64
 	beginnings beginnings
 	estimates  estimates
+	ending     *ending
+	runTimes   runTimes
 }
 
 // New returns a Relay without a routing table.
@@ -156,7 +158,7 @@
 	if config.Now == nil {
 		config.Now = monotonicNow
 	}
-	return &Relay{config: config, log: config.Log.With("part", "relay"), estimates: newEstimates()}, nil
+	return &Relay{config: config, log: config.Log.With("part", "relay"), estimates: newEstimates(), ending: newEnding(), runTimes: runTimes{byRoute: make(map[string]time.Duration)}}, nil
 }
 
 // SetTable puts a table in force for requests that arrive from now on. It
@@ -179,16 +181,6 @@
 	return r.table.Load()
 }
 
-// Drain makes all further responses close the caller's connection.
-func (r *Relay) Drain() {
-	r.draining.Store(true)
-}
-
-// RefuseNew makes the relay refuse new requests; those in flight continue.
-func (r *Relay) RefuseNew() {
-	r.refusing.Store(true)
-}
-
 // InFlight returns the number of requests in flight.
 func (r *Relay) InFlight() int64 {
 	return r.inFlight.Load()
