gateway: a VM that is out of step doesn't take its view of software versions for complete

During a release one VM stood still for seconds while engines of a new software version joined.

A caller that doesn't name the attempt that began its stream, or one whose origin nobody tells, is served while the service has had one version only, and the VM decided that from what it had seen itself.

The VM now asks the key-value service for the record of the versions in use before it relies on there being one; one read, only for streams that are taken up and whose origin is unknown. If the service can't be read, its own view counts only if all others have lost the service too; else the request is refused as not run and its caller goes to another VM. So that the record is never behind, the VM that begins a stream at a version which the record doesn't name writes it at once; before, the record's steward did so within half a second.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -289,7 +289,7 @@
 	var running sync.WaitGroup
 	running.Go(g.mesh.Run)
 	for _, part := range []func(context.Context){
-		g.mirror.Run, g.keeper.Run, g.runAssignments, g.runHeartbeats, g.runSweeps, g.runReloads, g.runReachability, g.runExchanges, g.runPlaces, g.runArchive, g.runQuotas,
+		g.mirror.Run, g.keeper.Run, g.runAssignments, g.runHeartbeats, g.runSweeps, g.runReloads, g.runReachability, g.runExchanges, g.runPlaces, g.runArchive, g.runVersionRecords, g.runQuotas,
 	} {
 		running.Go(func() { part(background) })
 	}
--- a/internal/gateway/origins.go
+++ b/internal/gateway/origins.go
@@ -81,7 +81,8 @@
 
 // RecordOrigin implements relay.Origins. It gives the origin to other daemons too,
 // as callers come back when this one has ended.
-func (g *Gateway) RecordOrigin(request, softwareVersion string, ttl time.Duration) {
+func (g *Gateway) RecordOrigin(service, request, softwareVersion string, ttl time.Duration) {
+	g.announceVersion(service, softwareVersion)
 	g.origins.record(request, softwareVersion, ttl)
 	names, addresses := g.liveMembers()
 	packet := mesh.Packet{Origin: &mesh.Origin{Request: request, SoftwareVersion: softwareVersion, TTL: int64(ttl / time.Second)}}
--- a/internal/gateway/software.go
+++ b/internal/gateway/software.go
@@ -38,6 +38,11 @@
 	archive   *origin.Archive
 	pending   origin.Pending
 
+	// announced holds when this daemon last wrote, by clock.Boot, that a version is in use.
+	announced map[usedVersion]time.Duration
+	// due is signaled when a version is to be written.
+	due chan struct{}
+
 	// several is set while a service has had more than one version lately.
 	several atomic.Bool
 	// lease, leaseAt and segments belong to the goroutine that writes segments: the lease of
@@ -48,7 +53,7 @@
 }
 
 func newSoftware() *software {
-	return &software{records: make(map[string]origin.VersionRecord), revisions: make(map[string]int64), archive: origin.NewArchive()}
+	return &software{records: make(map[string]origin.VersionRecord), revisions: make(map[string]int64), archive: origin.NewArchive(), announced: make(map[usedVersion]time.Duration), due: make(chan struct{}, 1)}
 }
 
 // applySoftwareKey applies a change of a key with software versions or streams' origins.
@@ -92,13 +97,15 @@
 	}
 }
 
-// OnlySoftwareVersion implements relay.Origins.
-func (g *Gateway) OnlySoftwareVersion(service string, named bool) (string, bool) {
+// OnlySoftwareVersion implements relay.Origins. What this daemon has seen may be old: it may
+// have been cut off or paused while engines of another version joined. So the key-value service
+// is asked.
+func (g *Gateway) OnlySoftwareVersion(ctx context.Context, service string, named bool) (string, bool) {
 	if named && g.hasSeenVersionsLongEnough() {
 		return "", false
 	}
 	versions, complete := g.versionsLately(service)
-	if !complete || len(versions) != 1 {
+	if !complete || len(versions) != 1 || !g.isOnlyRecordedVersion(ctx, service, versions[0]) {
 		return "", false
 	}
 	return versions[0], true
--- a/internal/relay/origin.go
+++ b/internal/relay/origin.go
@@ -28,7 +28,7 @@
 		e.softwareVersion, ok = origins.FindOrigin(e.ctx, e.call.FirstTry)
 	}
 	if !ok {
-		e.softwareVersion, ok = origins.OnlySoftwareVersion(e.service.Name, e.call.FirstTry != "")
+		e.softwareVersion, ok = origins.OnlySoftwareVersion(e.ctx, e.service.Name, e.call.FirstTry != "")
 	}
 	e.relay.config.Metrics.StreamTakenUp(e.service.Name, ok)
 	if ok {
@@ -52,7 +52,7 @@
 	first := e.events == 0
 	e.softwareVersion = version
 	if first && version != "" && e.route.Kind == routing.Streaming && e.route.Resumable {
-		e.relay.config.Origins.RecordOrigin(e.call.ID, version, time.Until(e.deadline)+originTTL)
+		e.relay.config.Origins.RecordOrigin(e.service.Name, e.call.ID, version, time.Until(e.deadline)+originTTL)
 	}
 	return true
 }
--- a/internal/relay/origin_test.go
+++ b/internal/relay/origin_test.go
@@ -18,7 +18,7 @@
 // fixedOrigins knows the origins of some requests.
 type fixedOrigins map[string]string
 
-func (o fixedOrigins) RecordOrigin(request, softwareVersion string, _ time.Duration) {
+func (o fixedOrigins) RecordOrigin(_, request, softwareVersion string, _ time.Duration) {
 	o[request] = softwareVersion
 }
 
@@ -27,7 +27,9 @@
 	return version, ok
 }
 
-func (fixedOrigins) OnlySoftwareVersion(string, bool) (string, bool) { return "", false }
+func (fixedOrigins) OnlySoftwareVersion(context.Context, string, bool) (string, bool) {
+	return "", false
+}
 
 // oneVersion knows the origins of some requests, and that a service has had one version only.
 // restarted is set if other origins may have been forgotten.
@@ -36,7 +38,7 @@
 	restarted bool
 }
 
-func (o oneVersion) OnlySoftwareVersion(_ string, named bool) (string, bool) {
+func (o oneVersion) OnlySoftwareVersion(_ context.Context, _ string, named bool) (string, bool) {
 	return "v1", !named || o.restarted
 }
 
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -57,9 +57,9 @@
 
 // Origins remembers over all daemons which software version began a stream.
 type Origins interface {
-	// RecordOrigin records which version began the stream of a request. It does not
-	// block.
-	RecordOrigin(request, softwareVersion string, ttl time.Duration)
+	// RecordOrigin records which version of a service began the stream of a request. It
+	// does not block.
+	RecordOrigin(service, request, softwareVersion string, ttl time.Duration)
 	// FindOrigin returns the version that began the stream of a request, if any
 	// daemon that can be reached knows it.
 	FindOrigin(ctx context.Context, request string) (softwareVersion string, ok bool)
@@ -67,7 +67,7 @@
 	// for as long as any stream lasts that callers take up, if there was only one. named is
 	// set if the caller names an attempt whose origin is unknown: then the daemons must have
 	// started too lately to know it.
-	OnlySoftwareVersion(service string, named bool) (softwareVersion string, ok bool)
+	OnlySoftwareVersion(ctx context.Context, service string, named bool) (softwareVersion string, ok bool)
 }
 
 // Quarantine knows the prompt parts and the requests under which engines crash.
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -83,11 +83,11 @@
 
 type noOrigins struct{}
 
-func (noOrigins) RecordOrigin(string, string, time.Duration) {}
+func (noOrigins) RecordOrigin(string, string, string, time.Duration) {}
 func (noOrigins) FindOrigin(context.Context, string) (string, bool) {
 	return "", false
 }
-func (noOrigins) OnlySoftwareVersion(string, bool) (string, bool) { return "", false }
+func (noOrigins) OnlySoftwareVersion(context.Context, string, bool) (string, bool) { return "", false }
 
 // newTestRelay returns a relay with a route to engines and one to a plain
 // service, whose requests run at most once. sendRequest stands in for the engines'
