relay: what all requests together hold of answers is bounded

Each answer was bounded already: 64 KB of a head, 256 KB of a body or of an event, then the exchange ends.

All requests of a relay now share an eighth of the machine's memory for what they hold beyond 4 KB each. A body that finds no room is forwarded as it arrives, from then on without the possibility to send the request again; an event that finds none ends its engine's stream as one that is too large does.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -31,8 +31,12 @@
 // keyPrefix is the prefix of the gateway's own keys in the key-value service.
 const keyPrefix = "barleylift/"
 
-// memoryShare is the part of a daemon's memory that the Go heap may use.
-const memoryShare = 0.7
+// memoryShare is the part of a daemon's memory that the Go heap may use, and heldShare that
+// which may hold upstreams' answers.
+const (
+	memoryShare = 0.7
+	heldShare   = 0.125
+)
 
 // Options are the dependencies of a Gateway.
 type Options struct {
@@ -228,19 +232,20 @@
 		return err
 	}
 	if g.relay, err = relay.New(relay.Config{
-		Protocol:   g.platform.Protocol(),
-		Locator:    g.locator,
-		Pools:      g.pools,
-		Budget:     func(service string) *limit.RetryBudget { return g.budgets.of(service) },
-		Metrics:    meters,
-		Observe:    g.observeStatement,
-		Origins:    g,
-		Quarantine: g,
-		Peers:      g,
-		Freshness:  g,
-		Quotas:     g,
-		Places:     g,
-		Log:        log,
+		Protocol:     g.platform.Protocol(),
+		Locator:      g.locator,
+		Pools:        g.pools,
+		Budget:       func(service string) *limit.RetryBudget { return g.budgets.of(service) },
+		Metrics:      meters,
+		Observe:      g.observeStatement,
+		Origins:      g,
+		Quarantine:   g,
+		Peers:        g,
+		Freshness:    g,
+		Quotas:       g,
+		Places:       g,
+		MaxHeldBytes: int64(heldShare * float64(s.MemoryMB) * (1 << 20)),
+		Log:          log,
 	}); err != nil {
 		return err
 	}
--- a/internal/relay/events.go
+++ b/internal/relay/events.go
@@ -13,7 +13,7 @@
 // hundred bytes long.
 const eventBufferBytes = 2 << 10
 
-var errEventTooLarge = errors.New("an event of the stream is too large")
+var errEventTooLarge = errors.New("an event of the stream is too large for the room that there is")
 
 // event is one complete event of a stream. raw holds the bytes as the upstream
 // sent them and is valid until the next read.
@@ -28,10 +28,11 @@
 type eventReader struct {
 	source *bufio.Reader
 	raw    []byte
+	held   *heldBytes
 }
 
-func newEventReader(source io.Reader) *eventReader {
-	return &eventReader{source: bufio.NewReaderSize(source, eventBufferBytes)}
+func newEventReader(source io.Reader, held *heldBytes) *eventReader {
+	return &eventReader{source: bufio.NewReaderSize(source, eventBufferBytes), held: held}
 }
 
 // next returns the next complete event. At the end of the stream, rest holds
@@ -58,8 +59,7 @@
 func (r *eventReader) readLine() error {
 	for {
 		piece, err := r.source.ReadSlice('\n')
-		r.raw = append(r.raw, piece...)
-		if len(r.raw) > maxEventBytes {
+		if !r.append(piece) {
 			return errEventTooLarge
 		}
 		if err != bufio.ErrBufferFull {
@@ -67,3 +67,20 @@
 		}
 	}
 }
+
+// append appends a piece to raw, and reports whether there was room for it.
+func (r *eventReader) append(piece []byte) bool {
+	size := len(r.raw) + len(piece)
+	if size > maxEventBytes {
+		return false
+	}
+	if size > cap(r.raw) {
+		size = min(max(size, 2*cap(r.raw)), maxEventBytes)
+		if !r.held.grow(size) {
+			return false
+		}
+		r.raw = append(make([]byte, 0, size), r.raw...)
+	}
+	r.raw = append(r.raw, piece...)
+	return true
+}
--- a/internal/relay/events_test.go
+++ b/internal/relay/events_test.go
@@ -7,6 +7,8 @@
 	"strings"
 	"testing"
 	"testing/iotest"
+
+	"golang.org/x/sync/semaphore"
 )
 
 func TestEventsAreSplitUnchanged(t *testing.T) {
@@ -23,7 +25,7 @@
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			reader := newEventReader(iotest.OneByteReader(strings.NewReader(test.stream)))
+			reader := newEventReader(iotest.OneByteReader(strings.NewReader(test.stream)), roomForEvents())
 			var got bytes.Buffer
 			for i := 0; ; i++ {
 				e, rest, err := reader.next()
@@ -47,7 +49,7 @@
 }
 
 func TestEventSizeIsLimited(t *testing.T) {
-	_, _, err := newEventReader(strings.NewReader(strings.Repeat("x", maxEventBytes+1))).next()
+	_, _, err := newEventReader(strings.NewReader(strings.Repeat("x", maxEventBytes+1)), roomForEvents()).next()
 	if !errors.Is(err, errEventTooLarge) {
 		t.Errorf("got %v", err)
 	}
@@ -56,7 +58,7 @@
 func FuzzEvents(f *testing.F) {
 	f.Add("id: 1\ndata: a\n\nid: 2")
 	f.Fuzz(func(t *testing.T, stream string) {
-		reader := newEventReader(strings.NewReader(stream))
+		reader := newEventReader(strings.NewReader(stream), roomForEvents())
 		var got strings.Builder
 		for {
 			e, rest, err := reader.next()
@@ -71,3 +73,7 @@
 		}
 	})
 }
+
+func roomForEvents() *heldBytes {
+	return &heldBytes{bound: semaphore.NewWeighted(defaultMaxHeldBytes)}
+}
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -92,6 +92,8 @@
 	expected expectation
 	// admissionWait is the time spent waiting for adapter loads and admissions.
 	admissionWait time.Duration
+	// held is what is held of the upstream's answer.
+	held heldBytes
 	// headSent is set once the head of a response was sent to the caller.
 	headSent bool
 	// lastEventID is the identifier of the last complete event that was forwarded.
@@ -131,7 +133,7 @@
 func newExchange(relay *Relay, w http.ResponseWriter, request *http.Request, call *Call, table *routing.Table, route *routing.Route, body []byte, arrived time.Time, passedOn bool) *exchange {
 	timeout := call.timeout()
 	e := &exchange{
-		relay: relay, w: w, request: request, call: call, table: table, route: route, body: body, arrivedAt: arrived, passedOn: passedOn,
+		relay: relay, w: w, request: request, call: call, table: table, route: route, body: body, arrivedAt: arrived, passedOn: passedOn, held: heldBytes{bound: relay.held},
 		deadline:    arrived.Add(min(timeout, route.Timeout)),
 		lastEventID: call.LastEventID,
 	}
@@ -171,6 +173,7 @@
 func (e *exchange) finish() {
 	e.cancel()
 	e.reservation.Cancel()
+	e.held.release()
 	e.learnCost()
 	e.returnTokens()
 	took := time.Since(e.arrivedAt)
--- a/internal/relay/plain.go
+++ b/internal/relay/plain.go
@@ -155,9 +155,9 @@
 )
 
 // forwardBody forwards a response with its complete body and reports whether
-// the request has ended. A short body is read before the head is sent.
+// the request has ended. A short body is read before the head is sent, if there is room.
 func (e *exchange) forwardBody(upstream topology.Upstream, result sendResult) bool {
-	buffered, err := io.ReadAll(io.LimitReader(result.response.Body, maxBufferedBytes))
+	buffered, complete, err := e.held.readBeginning(result.response.Body, maxBufferedBytes)
 	if err == nil && len(buffered) == 0 && !result.response.Framed() && result.response.StatusCode/100 == 2 && e.call.Method != http.MethodHead {
 		err = io.ErrUnexpectedEOF // an answer that is empty says so by its framing
 	}
@@ -165,7 +165,6 @@
 		result.response.Discard()
 		return e.handleSendFailure(upstream, sendResult{err: errors.Join(errTruncated, err), written: true, begun: true})
 	}
-	complete := len(buffered) < maxBufferedBytes
 	if complete {
 		e.upstreamDone = true
 		e.recordAnswer(result.response.StatusCode)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -16,6 +17,7 @@
 	"github.com/barleylift/barleylift/internal/quarantine"
 	"github.com/barleylift/barleylift/internal/routing"
 	"github.com/barleylift/barleylift/internal/topology"
+	"golang.org/x/sync/semaphore"
 )
 
 // Pools provides the connections to upstreams.
@@ -129,7 +131,10 @@
 	// when the request was sent, by clock.Boot, or 0 if the answer is a refusal or may
 	// not be the upstream's own. answer names the answer in the log.
 	Observe func(upstream topology.Upstream, statement topology.Statement, sentAt time.Duration, answer string)
-	Log     *slog.Logger
+	// MaxHeldBytes bounds what all requests together hold of upstreams' answers; 0 for
+	// defaultMaxHeldBytes.
+	MaxHeldBytes int64
+	Log          *slog.Logger
 }
 
 // Relay serves callers' requests according to the routing table in force.
@@ -148,6 +153,8 @@
 	estimates  estimates
 	ending     *ending
 	runTimes   runTimes
+	// held bounds heldBytes.
+	held *semaphore.Weighted
 }
 
 // New returns a Relay without a routing table.
@@ -158,7 +165,8 @@
 	if config.Now == nil {
 		config.Now = monotonicNow
 	}
-	return &Relay{config: config, log: config.Log.With("part", "relay"), estimates: newEstimates(), ending: newEnding(), runTimes: runTimes{byRoute: make(map[string]time.Duration)}}, nil
+	held := semaphore.NewWeighted(cmp.Or(config.MaxHeldBytes, defaultMaxHeldBytes))
+	return &Relay{config: config, log: config.Log.With("part", "relay"), estimates: newEstimates(), ending: newEnding(), held: held, runTimes: runTimes{byRoute: make(map[string]time.Duration)}}, nil
 }
 
 // SetTable puts a table in force for requests that arrive from now on. It
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -17,7 +17,7 @@
 // has ended. If the stream is truncated and the route allows the request to run
 // again, it is resumed at another engine.
 func (e *exchange) forwardStream(upstream topology.Upstream, result sendResult) bool {
-	reader := newEventReader(result.response.Body)
+	reader := newEventReader(result.response.Body, &e.held)
 	controller := http.NewResponseController(e.w)
 	recorded := false
 	for forwarded := 0; ; {
