upstream: the head of an engine's response is bounded

TestEndlessHeadsTakeLittleMemory failed before and passes. Open: a whole response that is not streamed may have 16 MB, and nothing bounds those of all calls together.

--- a/internal/upstream/engine.go
+++ b/internal/upstream/engine.go
@@ -37,6 +37,9 @@
 	defaultMaxResumes       = 5
 )
 
+// maxResponseHeaderBytes limits the head of an engine's response.
+const maxResponseHeaderBytes = 64 << 10
+
 // EngineClientConfig configures an EngineClient.
 type EngineClientConfig struct {
 	Engine catalog.Engine
@@ -114,10 +117,11 @@
 func newTransport(maxIdle int) *http.Transport {
 	dialer := &net.Dialer{Timeout: defaultDialTimeout}
 	return &http.Transport{
-		DialContext:         dialer.DialContext,
-		DisableCompression:  true,
-		MaxIdleConnsPerHost: max(maxIdle, 1),
-		IdleConnTimeout:     time.Minute,
+		DialContext:            dialer.DialContext,
+		DisableCompression:     true,
+		MaxIdleConnsPerHost:    max(maxIdle, 1),
+		IdleConnTimeout:        time.Minute,
+		MaxResponseHeaderBytes: maxResponseHeaderBytes,
 	}
 }
 
--- a/internal/upstream/engine_test.go
+++ b/internal/upstream/engine_test.go
@@ -3,9 +3,12 @@
 import (
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
+	"runtime"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -232,3 +235,48 @@
 		}
 	})
 }
+
+// A head without end was read up to ten megabytes for each call.
+func TestEndlessHeadsTakeLittleMemory(t *testing.T) {
+	const calls, daemonMemory = 40, 256 << 20
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer conn.Close()
+				_, err := io.WriteString(conn, "HTTP/1.1 200 OK\r\nX: ")
+				for endless := strings.Repeat("x", 64<<10); err == nil; {
+					_, err = io.WriteString(conn, endless)
+				}
+			}()
+		}
+	}()
+	client, err := NewEngineClient(EngineClientConfig{Engine: catalog.Engine{Address: "http://" + listener.Addr().String(), MaxRunning: calls}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer client.Close()
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	var group sync.WaitGroup
+	for range calls {
+		group.Go(func() {
+			if _, err := client.Report(t.Context()); err == nil {
+				t.Error("a head without end was taken for a report")
+			}
+		})
+	}
+	group.Wait()
+	runtime.ReadMemStats(&after)
+	if allocated := after.TotalAlloc - before.TotalAlloc; allocated > daemonMemory {
+		t.Errorf("%d calls have allocated %d MB, want %d at most", calls, allocated>>20, daemonMemory>>20)
+	}
+}
