gateway: connections of callers outlive a closed window

The listeners of callers bounded unacknowledged bytes by TCP_USER_TIMEOUT of 3 s, which the kernel also applies to a peer that answers each probe with a closed window. That bound was meant for peers that have vanished. It stays between VMs and towards upstreams. For callers the relay now bounds how long an answer is written: until a second after the request's deadline; idle connections still have keep-alive.

--- a/internal/gateway/servers.go
+++ b/internal/gateway/servers.go
@@ -23,6 +23,13 @@
 	idleTimeout = 60 * time.Second
 )
 
+// Connections of callers have no bound on unacknowledged bytes: the kernel counts a closed window as
+// such, and a caller may read slowly. The relay bounds how long it writes an answer.
+var (
+	callerListenConfig = net.ListenConfig{KeepAliveConfig: hop.KeepAlive}
+	peerListenConfig   = net.ListenConfig{KeepAliveConfig: hop.KeepAlive, Control: hop.SetUserTimeout}
+)
+
 // server is one listening address with its handler.
 type server struct {
 	name     string
@@ -57,11 +64,14 @@
 		{"metrics", g.options.Metrics, pages},
 		{"peers", s.Mesh.String(), http.HandlerFunc(g.relay.ServePassedOn)},
 	}
-	config := net.ListenConfig{KeepAliveConfig: hop.KeepAlive, Control: hop.SetUserTimeout}
 	for _, a := range addresses {
 		if a.address == "" || a.name == "status" && !s.Status.IsValid() {
 			continue
 		}
+		config := callerListenConfig
+		if a.name == "peers" {
+			config = peerListenConfig
+		}
 		listener, err := config.Listen(context.Background(), "tcp4", a.address)
 		if err != nil {
 			return nil, &SettingError{a.name, err.Error()}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -218,6 +218,7 @@
 	r.inFlight.Add(1)
 	defer r.inFlight.Add(-1)
 	arrived := time.Now()
+	limitWriting(w, time.Time{}) // the connection may have carried another request
 	if r.draining.Load() {
 		w.Header().Set("Connection", "close")
 	}
@@ -258,10 +259,21 @@
 		return
 	}
 	e := newExchange(r, w, request, call, table, route, body, arrived, passedOn)
+	limitWriting(w, e.deadline.Add(lastWriteTime))
 	defer e.finish()
 	e.serve()
 }
 
+// lastWriteTime is how long after a request's deadline its answer may still be written.
+const lastWriteTime = time.Second
+
+// limitWriting sets the time until which an answer may be written; zero for no limit. A caller that
+// has vanished, or reads nothing, would hold its request for many minutes otherwise.
+func limitWriting(w http.ResponseWriter, until time.Time) {
+	// Writers without a connection of their own, as in tests, have no deadline.
+	_ = http.NewResponseController(w).SetWriteDeadline(until)
+}
+
 var errBodyTooLarge = errors.New("the body exceeds the limit")
 
 // readBodyUntil reads the complete body of a request like readBody, until the caller's time is
