--- a/internal/gateway/software.go
+++ b/internal/gateway/software.go
@@ -38,7 +38,7 @@
 	archive   *origin.Archive
 	pending   origin.Pending
 
-	// announced holds when this daemon last wrote, by clock.Boot, that a version is in use.
+	// announced holds when this daemon last had a version written as in use, by clock.Boot.
 	announced map[usedVersion]time.Duration
 	// due is signaled when a version is to be written.
 	due chan struct{}
