--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"time"
 
@@ -16,6 +17,9 @@
 // when all daemons end. The first member in a key's rendezvous order, its steward, writes
 // and deletes the service's key, and lets the one request through that tries it again.
 
+// maxLoggedKeys bounds the keys in one line of the log.
+const maxLoggedKeys = 8
+
 // quarantined is what this daemon knows of crashes and of what is blocked. It is safe for
 // concurrent use.
 type quarantined struct {
@@ -58,12 +62,14 @@
 
 // EngineFailed implements relay.Quarantine.
 func (g *Gateway) EngineFailed(ctx context.Context, id string, upstream topology.Upstream, failure quarantine.Failure) (ended bool) {
-	if !g.hasEnded(ctx, upstream) {
+	if ended, probedAt := g.hasEnded(ctx, upstream); !ended {
+		g.log.Info("engine broke a request off and is not known to have ended", "id", id, "upstream", upstream.ID, "begun", failure.Begun,
+			"fingerprint", failure.Request.Fingerprint.String(), "probed_ms", (probedAt - failure.At).Milliseconds())
 		return false
 	}
-	suspect, suspected := g.uncleared(failure)
+	suspect, suspected, cleared := g.uncleared(failure)
 	g.log.Info("engine ended under a request", "id", id, "upstream", upstream.ID, "born", upstream.Incarnation, "begun", failure.Begun,
-		"held_ms", (failure.At - failure.SentAt).Milliseconds(), "fingerprint", failure.Request.Fingerprint.String(), "suspected", suspect.Request != 0, "suspected_parts", len(suspect.Parts))
+		"held_ms", (failure.At - failure.SentAt).Milliseconds(), "fingerprint", failure.Request.Fingerprint.String(), "suspected", suspect.Request != 0, "suspected_parts", len(suspect.Parts), "answered_keys", cleared)
 	if failure.Begun {
 		g.options.Meters.EngineCrash(upstream.Service)
 	}
@@ -83,14 +89,20 @@
 }
 
 // uncleared returns the suspect that a request is at the end of an engine's process. Others
-// don't know which answers of the last moment clear it.
-func (g *Gateway) uncleared(failure quarantine.Failure) (suspect quarantine.Suspect, suspected bool) {
+// don't know which answers of the last moment clear it. answered names the keys that engines
+// have answered, and how many milliseconds before the end.
+func (g *Gateway) uncleared(failure quarantine.Failure) (suspect quarantine.Suspect, suspected bool, answered []string) {
 	q := g.quarantined
 	q.mu.Lock()
 	defer q.mu.Unlock()
+	for _, key := range failure.Request.Keys() {
+		if at, ok := q.table.AnsweredAt(key); ok && len(answered) < maxLoggedKeys {
+			answered = append(answered, fmt.Sprintf("%s %d", key, (failure.At-at).Milliseconds()))
+		}
+	}
 	suspect, suspected = q.table.Uncleared(failure.At, failure.Suspect())
 	suspect.Parts = suspect.Parts[:min(len(suspect.Parts), maxReportedParts)]
-	return suspect, suspected
+	return suspect, suspected, answered
 }
 
 // recordCrash adds a crash to the table, and reports whether more may be blocked because of
--- a/internal/gateway/quarantine_probe.go
+++ b/internal/gateway/quarantine_probe.go
@@ -33,8 +33,9 @@
 }
 
 // hasEnded reports whether the process of an engine has ended, as far as a new
-// connection shows. Requests that failed at the same time share the attempt.
-func (g *Gateway) hasEnded(ctx context.Context, upstream topology.Upstream) bool {
+// connection shows that was tried from probedAt on. Requests that failed at the same time
+// share the attempt.
+func (g *Gateway) hasEnded(ctx context.Context, upstream topology.Upstream) (ended bool, probedAt time.Duration) {
 	process := quarantine.Process{ID: upstream.ID, Incarnation: upstream.Incarnation}
 	now := clock.Boot()
 	q := g.quarantined
@@ -59,9 +60,9 @@
 	}
 	select {
 	case <-p.done:
-		return p.ended
+		return p.ended, p.startedAt
 	case <-ctx.Done():
-		return false
+		return false, p.startedAt
 	}
 }
 
--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -251,6 +251,13 @@
 	return ok && answeredAt >= crashAt-recentAnswer
 }
 
+// AnsweredAt returns when an engine last answered a request with a key, and false if that
+// isn't known.
+func (t *Table) AnsweredAt(key Key) (at time.Duration, ok bool) {
+	at, ok = t.answeredAt[key]
+	return at, ok
+}
+
 // Uncleared returns a suspect of a crash at a time without what answers of the last
 // moment clear of it, and false if nothing is left.
 func (t *Table) Uncleared(at time.Duration, suspect Suspect) (Suspect, bool) {
--- a/internal/relay/withhold.go
+++ b/internal/relay/withhold.go
@@ -66,6 +66,8 @@
 
 func (e *exchange) withhold(key quarantine.Key) {
 	e.relay.config.Metrics.RequestWithheld(e.service.Name)
+	e.relay.log.Info("request reaches no engine, as engines crash on it", "id", e.call.ID, "cause", key.String(), "begun", e.headSent, "sends", e.sends,
+		"fingerprint", e.subject.Fingerprint.String(), e.promptAttribute())
 	spread := time.Duration(float64(e.random()) / math.MaxUint64 * float64(withheldReturn))
 	e.giveUp(http.StatusBadGateway, withheldReturn+spread, errWithheld.Error()+": "+key.String())
 }
