relay: only a whole answer shows that engines don't crash on a request

Cause: an engine that had gone on for 300 ms after its first event counted as proof that the part and the request are sound, and its later end was not looked into. Engines that crash after three events, 150 ms apart, as in the users' record, cleared the part with each crash.

An answer counts once it is whole, and each break before that is looked into. A stream that has got past its beginning still isn't cut off by a block, and its first break doesn't wait for the look at the engine.

--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -50,12 +50,12 @@
 	return q.table.IsBlocked(request, verdict)
 }
 
-// EngineAnswers implements relay.Quarantine.
-func (g *Gateway) EngineAnswers(id string, request quarantine.Request, ago time.Duration) {
+// EngineAnswered implements relay.Quarantine.
+func (g *Gateway) EngineAnswered(id string, request quarantine.Request) {
 	now := clock.Boot()
 	q := g.quarantined
 	q.mu.Lock()
-	unblocked := q.table.RecordAnswer(now, now-ago, request.Keys())
+	unblocked := q.table.RecordAnswer(now, now, request.Keys())
 	q.mu.Unlock()
 	g.logUnblocked(unblocked, "request "+id)
 }
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -110,9 +110,9 @@
 	// early if the request is blocked.
 	sendCtx context.Context
 	sentAt  time.Duration
-	// engineAnswers is set once the engine of the current send has got past the beginning
-	// of its answer.
-	engineAnswers bool
+	// pastBeginning is set once the stream of the current send has got past its beginning,
+	// and engineAnswered once its answer was whole.
+	pastBeginning, engineAnswered bool
 	// engineEvents is the number of events of the current send, and engineBeganAt when
 	// its first event arrived.
 	engineEvents  int
@@ -439,7 +439,7 @@
 // once there is a connection; the request isn't sent if it returns an error.
 func (e *exchange) exchangeOver(ctx context.Context, pool *hop.Pool, request *hop.Request, beforeWrite func() error) (*hop.Response, sendResult) {
 	protocol := e.relay.config.Protocol
-	e.engineEvents, e.engineBeganAt, e.engineAnswers = 0, time.Time{}, false
+	e.engineEvents, e.engineBeganAt, e.pastBeginning, e.engineAnswered = 0, time.Time{}, false, false
 	response, err := pool.Send(ctx, request, hop.Options{
 		MaxIdle:     e.maxIdle(),
 		Avoid:       e.carriers,
--- a/internal/relay/pass_on_test.go
+++ b/internal/relay/pass_on_test.go
@@ -9,7 +9,6 @@
 	"strings"
 	"sync/atomic"
 	"testing"
-	"time"
 
 	"github.com/barleylift/barleylift/internal/hop"
 	"github.com/barleylift/barleylift/internal/quarantine"
@@ -188,7 +187,7 @@
 	answers atomic.Int64
 }
 
-func (c *answerCounter) EngineAnswers(string, quarantine.Request, time.Duration) {
+func (c *answerCounter) EngineAnswered(string, quarantine.Request) {
 	c.answers.Add(1)
 }
 
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -79,9 +79,8 @@
 	// IsBlocked returns what a request must reach no engine any more for, if there is
 	// anything.
 	IsBlocked(request quarantine.Request, verdict quarantine.Verdict) (quarantine.Key, bool)
-	// EngineAnswers records that an engine began to answer a request some time ago and
-	// has gone on since.
-	EngineAnswers(id string, request quarantine.Request, ago time.Duration)
+	// EngineAnswered records that an engine has just answered a request whole.
+	EngineAnswered(id string, request quarantine.Request)
 	// EngineFailed records that an engine failed a request, and reports whether the
 	// engine's process has ended.
 	EngineFailed(ctx context.Context, id string, upstream topology.Upstream, failure quarantine.Failure) (ended bool)
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -75,7 +75,7 @@
 	return quarantine.Key{}, false
 }
 
-func (noQuarantine) EngineAnswers(string, quarantine.Request, time.Duration) {}
+func (noQuarantine) EngineAnswered(string, quarantine.Request) {}
 
 func (noQuarantine) EngineFailed(context.Context, string, topology.Upstream, quarantine.Failure) bool {
 	return false
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -50,7 +50,7 @@
 		}
 		now := time.Now()
 		e.recordEvent(now)
-		e.recordProgress(now, false)
+		e.recordProgress(now)
 	}
 }
 
@@ -140,7 +140,9 @@
 				return e.endCallerLeft(result)
 			}
 		}
-		e.recordProgress(time.Now(), true)
+		if e.engineEvents > 0 {
+			e.recordAnswer(result.response.StatusCode)
+		}
 		result.response.Release()
 		engines.RecordSuccess(upstream.ID, 0)
 		e.outcome = outcomeAnswered
--- a/internal/relay/withhold.go
+++ b/internal/relay/withhold.go
@@ -16,9 +16,9 @@
 )
 
 const (
-	// answerProofTime is how long an engine that crashes on a request could go on after the
-	// first event of its answer.
-	answerProofTime = 300 * time.Millisecond
+	// beginningTime is how long after its first event a stream still ends when its request
+	// is blocked. Later it goes on: its end shows whether engines crash on the request.
+	beginningTime = 300 * time.Millisecond
 	// maxEnginesEnded is the number of engines that may end under one request. It is not
 	// sent to another one then.
 	maxEnginesEnded = 2
@@ -72,33 +72,30 @@
 	e.giveUp(http.StatusBadGateway, withheldReturn+spread, errWithheld.Error()+": "+key.String())
 }
 
-// recordProgress records, once a send, that the engine has got past the beginning of its
-// answer.
-func (e *exchange) recordProgress(now time.Time, complete bool) {
-	if e.viaVM || e.engineAnswers || e.engineEvents == 0 || !complete && now.Sub(e.engineBeganAt) < answerProofTime {
-		return
+// recordProgress lets a stream that has got past its beginning go on if its request is
+// blocked.
+func (e *exchange) recordProgress(now time.Time) {
+	if !e.pastBeginning && now.Sub(e.engineBeganAt) >= beginningTime {
+		e.pastBeginning = true
+		e.relay.beginnings.remove(e)
 	}
-	e.recordEngineAnswers(now.Sub(e.engineBeganAt))
 }
 
-// recordAnswer records that an upstream has answered the request with a whole body. One
-// that failed may not have run the request so far that it would have crashed.
+// recordAnswer records that an upstream has answered the request whole. One that failed may
+// not have run the request so far that it would have crashed, and neither may one whose
+// answer goes on: engines crash at any moment of an answer.
 func (e *exchange) recordAnswer(status int) {
-	if !e.engineAnswers && !e.viaVM && status < http.StatusInternalServerError {
-		e.recordEngineAnswers(0)
+	if !e.engineAnswered && !e.viaVM && status < http.StatusInternalServerError {
+		e.engineAnswered = true
+		e.relay.beginnings.remove(e)
+		e.relay.config.Quarantine.EngineAnswered(e.call.ID, e.subject)
 	}
 }
 
-func (e *exchange) recordEngineAnswers(ago time.Duration) {
-	e.engineAnswers = true
-	e.relay.beginnings.remove(e)
-	e.relay.config.Quarantine.EngineAnswers(e.call.ID, e.subject, ago)
-}
-
 // recordEngineFailure records that an engine broke off the request. begun is set if it
 // had begun to answer.
 func (e *exchange) recordEngineFailure(upstream topology.Upstream, begun bool) {
-	if e.engineAnswers || e.viaVM || e.ctx.Err() != nil {
+	if e.engineAnswered || e.viaVM || e.ctx.Err() != nil {
 		return
 	}
 	failure := quarantine.Failure{Request: e.subject, Begun: begun, SentAt: e.sentAt, At: clock.Boot()}
@@ -109,7 +106,8 @@
 			e.enginesEnded.Add(1)
 		}
 	}
-	if begun || mayHaveBegun && (e.verdict.Trial || e.possibleRuns > 1) {
+	isFirstOfStream := e.pastBeginning && e.enginesEnded.Load() == 0
+	if begun && !isFirstOfStream || mayHaveBegun && (e.verdict.Trial || e.possibleRuns > 1) {
 		record(e.ctx)
 		return
 	}
--- a/internal/relay/withhold_test.go
+++ b/internal/relay/withhold_test.go
@@ -20,7 +20,9 @@
 // ended ones.
 type recordingQuarantine struct {
 	noQuarantine
-	trial    bool
+	trial bool
+	// failed receives once a failure is reported; nil for nothing.
+	failed   chan struct{}
 	mu       sync.Mutex // guards the fields below
 	failures []quarantine.Failure
 	answers  int
@@ -34,10 +36,14 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.failures = append(q.failures, failure)
+	select {
+	case q.failed <- struct{}{}:
+	default:
+	}
 	return true
 }
 
-func (q *recordingQuarantine) EngineAnswers(string, quarantine.Request, time.Duration) {
+func (q *recordingQuarantine) EngineAnswered(string, quarantine.Request) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.answers++
@@ -87,3 +93,40 @@
 		t.Errorf("reported %+v", q.failures)
 	}
 }
+
+// An engine may crash at any moment of its answer: a stream that goes on for long shows nothing
+// until it is whole.
+func TestStreamThatGoesOnClearsNoRequestUntilItIsWhole(t *testing.T) {
+	for _, broken := range []bool{true, false} {
+		u := startRawUpstream(t, func(_ *rawUpstream, w io.Writer, _, _ int, id string) {
+			fmt.Fprintf(w, "HTTP/1.1 200 OK\r\nId: %s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", id)
+			for n := range 3 {
+				event := fmt.Sprintf("id: %d\ndata: a\n\n", n+1)
+				fmt.Fprintf(w, "%x\r\n%s\r\n", len(event), event)
+				time.Sleep(beginningTime)
+			}
+			if !broken {
+				io.WriteString(w, "0\r\n\r\n")
+				return
+			}
+			w.(net.Conn).Close()
+		})
+		r := newResendRelay(t, u)
+		q := &recordingQuarantine{failed: make(chan struct{}, 1)}
+		r.config.Quarantine = q
+		request := httptest.NewRequest(http.MethodPost, "/s/", strings.NewReader("tick"))
+		request.Header.Set("Id", "r1")
+		func() {
+			defer func() { _ = recover() }()
+			r.ServeHTTP(httptest.NewRecorder(), request)
+		}()
+		want := 1
+		if broken {
+			<-q.failed
+			want = 0
+		}
+		if q.answers != want {
+			t.Errorf("broken off %t: %d answers reported, want %d", broken, q.answers, want)
+		}
+	}
+}
