quarantine: what sound requests share with crashing ones isn't blocked with it

Cause: parts that were at the same crashes were all blocked, as nothing told them apart: answers were forgotten after a second, and known to one daemon only. A block then lasted ten minutes unless a running request was answered.

A part is now known to have been answered for two minutes, crash reports tell the others what their daemon knows of it (a new integer key, which former builds skip), and a part with an earlier answer is blocked only if none without one explains the crashes. Parts that still can't be told apart are tried after 5 s, as requests were already.

The new cases of TestPartIsBlockedByWhatCrashesHaveInCommon blocked both parts.

--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -67,9 +67,10 @@
 			"fingerprint", failure.Request.Fingerprint.String(), "probed_ms", (probedAt - failure.At).Milliseconds())
 		return false
 	}
-	suspect, suspected, cleared := g.uncleared(failure)
+	suspect, suspected, answered := g.uncleared(failure)
 	g.log.Info("engine ended under a request", "id", id, "upstream", upstream.ID, "born", upstream.Incarnation, "begun", failure.Begun,
-		"held_ms", (failure.At - failure.SentAt).Milliseconds(), "fingerprint", failure.Request.Fingerprint.String(), "suspected", suspect.Request != 0, "suspected_parts", len(suspect.Parts), "answered_keys", cleared)
+		"held_ms", (failure.At - failure.SentAt).Milliseconds(), "fingerprint", failure.Request.Fingerprint.String(), "suspected", suspect.Request != 0, "suspected_parts", len(suspect.Parts),
+		"answered_before", answeredTexts(failure.At, answered))
 	if failure.Begun {
 		g.options.Meters.EngineCrash(upstream.Service)
 	}
@@ -77,7 +78,8 @@
 		return true
 	}
 	crash := quarantine.Crash{
-		Process: quarantine.Process{ID: upstream.ID, Incarnation: upstream.Incarnation}, At: failure.At, SentAt: failure.SentAt, Suspects: []quarantine.Suspect{suspect},
+		Process: quarantine.Process{ID: upstream.ID, Incarnation: upstream.Incarnation}, At: failure.At, SentAt: failure.SentAt,
+		Suspects: []quarantine.Suspect{suspect}, Answered: answered,
 	}
 	unsettled := g.recordCrash(crash, "request "+id)
 	go g.reportCrash(crash)
@@ -88,21 +90,25 @@
 	return true
 }
 
-// uncleared returns the suspect that a request is at the end of an engine's process. Others
-// don't know which answers of the last moment clear it. answered names the keys that engines
-// have answered, and how many milliseconds before the end.
-func (g *Gateway) uncleared(failure quarantine.Failure) (suspect quarantine.Suspect, suspected bool, answered []string) {
+// uncleared returns the suspect that a request is at the end of an engine's process, and the
+// earlier answers on its parts. Others don't know which answers of the last moment clear it.
+func (g *Gateway) uncleared(failure quarantine.Failure) (suspect quarantine.Suspect, suspected bool, answered []quarantine.Answered) {
 	q := g.quarantined
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	for _, key := range failure.Request.Keys() {
-		if at, ok := q.table.AnsweredAt(key); ok && len(answered) < maxLoggedKeys {
-			answered = append(answered, fmt.Sprintf("%s %d", key, (failure.At-at).Milliseconds()))
-		}
-	}
 	suspect, suspected = q.table.Uncleared(failure.At, failure.Suspect())
 	suspect.Parts = suspect.Parts[:min(len(suspect.Parts), maxReportedParts)]
-	return suspect, suspected, answered
+	return suspect, suspected, q.table.AnsweredParts(suspect)
+}
+
+// answeredTexts names keys that engines have answered for the log, with how many milliseconds
+// before a time.
+func answeredTexts(now time.Duration, answered []quarantine.Answered) []string {
+	texts := []string{}
+	for _, a := range answered[:min(len(answered), maxLoggedKeys)] {
+		texts = append(texts, fmt.Sprintf("%s %d", a.Key, (now-a.At).Milliseconds()))
+	}
+	return texts
 }
 
 // recordCrash adds a crash to the table, and reports whether more may be blocked because of
--- a/internal/gateway/quarantine_spread.go
+++ b/internal/gateway/quarantine_spread.go
@@ -105,6 +105,9 @@
 	if crash.SentAt != 0 {
 		message.HeldFor = max((crash.At - crash.SentAt).Milliseconds(), 1) // 0 is unknown
 	}
+	for _, a := range crash.Answered {
+		message.AnsweredParts = append(message.AnsweredParts, mesh.PartAge{Part: a.Key.ID, Age: (clock.Boot() - a.At).Milliseconds()})
+	}
 	for _, suspect := range crash.Suspects {
 		if suspect.Request != 0 {
 			message.Requests = append(message.Requests, uint64(suspect.Request))
@@ -136,6 +139,9 @@
 		}
 		crash.Suspects = append(crash.Suspects, suspect)
 	}
+	for key, at := range agesOf(clock.Boot(), message.AnsweredParts, nil) {
+		crash.Answered = append(crash.Answered, quarantine.Answered{Key: key, At: at})
+	}
 	for _, fingerprint := range message.Requests {
 		crash.Suspects = append(crash.Suspects, quarantine.Suspect{Request: quarantine.Fingerprint(fingerprint)})
 	}
--- a/internal/mesh/packet.go
+++ b/internal/mesh/packet.go
@@ -86,6 +86,9 @@
 	Requests []uint64 `cbor:"5,keyasint,omitempty"`
 	// HeldFor is how long the engine had the suspects, in milliseconds; 0 if unknown.
 	HeldFor int64 `cbor:"6,keyasint,omitempty"`
+	// AnsweredParts lists the parts of Suspects that engines are known to have answered
+	// before.
+	AnsweredParts []PartAge `cbor:"7,keyasint,omitempty"`
 }
 
 // CrashSuspect is a request by the parts of its prompt. Source is the last part. Begun
--- a/internal/quarantine/block.go
+++ b/internal/quarantine/block.go
@@ -18,9 +18,9 @@
 	commonTrialInterval = 2 * time.Second
 	// minCommonRefusals is the number of refusals that tell a part of most requests.
 	minCommonRefusals = 8
-	// ambiguousTrialInterval is the time until the first trial of a request that was at
-	// the same engines as others, which tells them apart; engines that have crashed are
-	// back by then. earlyTrialInterval is that of one that was alone, but at few engines.
+	// ambiguousTrialInterval is the time until the first trial of a key that was at the same
+	// engines as others, which tells them apart; engines that have crashed are back by then.
+	// earlyTrialInterval is that of a request that was alone, but at few engines.
 	ambiguousTrialInterval = 5 * time.Second
 	earlyTrialInterval     = time.Minute
 	// maxDoublings bounds the doubling of intervals.
@@ -53,7 +53,7 @@
 func (b *block) trialInterval(kind Kind) time.Duration {
 	doublings := min(b.failedTrials, maxDoublings)
 	switch {
-	case kind == WholeRequest && b.isAmbiguous && b.failedTrials == 0:
+	case b.isAmbiguous && b.failedTrials == 0:
 		return ambiguousTrialInterval
 	case kind == WholeRequest && b.isEarly && b.failedTrials == 0:
 		return earlyTrialInterval
@@ -155,10 +155,11 @@
 }
 
 // Block adds a block that another daemon knows since a time, and reports whether it is
-// new. An answer on the key since then is stronger, and so is one between its crashes.
+// new. An answer on the key since then is stronger, and so is one between its crashes, or
+// before them if another blocked key explains these.
 func (t *Table) Block(now, since time.Duration, key Key) bool {
 	isOutdated := max(t.answeredAt[key], t.unblockedAt[key]) > since || now-since > blockTTL
-	if isOutdated || t.blocks[key] != nil || t.isRefuted(key) {
+	if isOutdated || t.blocks[key] != nil || t.isRefuted(key) || t.isExplainedByOther(key) {
 		return false
 	}
 	t.addBlock(key, &block{since: since, triedAt: now})
@@ -181,7 +182,7 @@
 	return blocks
 }
 
-// Answered is a key on which an engine began an answer and went on.
+// Answered is a key on which an engine answered whole at a time.
 type Answered struct {
 	Key Key
 	At  time.Duration
--- a/internal/quarantine/evidence.go
+++ b/internal/quarantine/evidence.go
@@ -14,7 +14,8 @@
 	// blockingSources is the number of sessions whose requests were at those engines.
 	// One request that is sent to several engines puts all of its parts there.
 	blockingSources = 2
-	// blockingCrashesOfOne replaces both for a session that crashes engines alone.
+	// blockingCrashesOfOne replaces both for a session that crashes engines alone, and for a
+	// part that engines have answered before.
 	blockingCrashesOfOne = 4
 	// blockingCrashesOfRequest is the number of crashes under a request that is then
 	// blocked, and blockingCrashesAlone that if no other request was at all of them: sound
@@ -36,6 +37,8 @@
 	key     Key
 	crashes []*record
 	sources sources
+	// wasAnswered is Table.wasAnswered of the key.
+	wasAnswered bool
 }
 
 // evidence returns what speaks against each key, with the crashes in order of time.
@@ -50,7 +53,7 @@
 				continue
 			}
 			if all[key] == nil {
-				all[key] = &evidence{key: key, sources: make(sources)}
+				all[key] = t.newEvidence(key)
 			}
 			all[key].add(r, from)
 		}
@@ -58,6 +61,10 @@
 	return all
 }
 
+func (t *Table) newEvidence(key Key) *evidence {
+	return &evidence{key: key, sources: make(sources), wasAnswered: t.wasAnswered(key)}
+}
+
 func (e *evidence) add(r *record, from sources) {
 	e.crashes = append(e.crashes, r)
 	for source := range from {
@@ -70,7 +77,7 @@
 		return e.repetitions() >= blockingCrashesOfRequest
 	}
 	instants := e.instants()
-	return instants >= blockingCrashesOfOne || instants >= blockingCrashes && len(e.sources) >= blockingSources
+	return instants >= blockingCrashesOfOne || instants >= blockingCrashes && len(e.sources) >= blockingSources && !e.wasAnswered
 }
 
 // instants counts the crashes, those at one instant once.
@@ -104,7 +111,7 @@
 // are not enough to block it.
 func (t *Table) isRefuted(key Key) bool {
 	cleared := false
-	e := &evidence{key: key, sources: make(sources)}
+	e := t.newEvidence(key)
 	for _, r := range t.crashes {
 		from, suspected := r.suspects()[key]
 		switch {
@@ -137,7 +144,8 @@
 // explain finds the keys that explain the crashes: the one with the most crashes first, and
 // then those that explain the others. It blocks them if there is enough evidence. Where others
 // explain all crashes of a blocked key, it lifts the block of a part, which would refuse
-// sound requests; a request may be a cause as well, and is tried soon.
+// sound requests; a request may be a cause as well, and is tried soon. Of a part that engines
+// have answered before, it suffices that not enough crashes are left.
 func (t *Table) explain(now time.Duration) (changes Changes) {
 	explained := make(map[*record]bool)
 	found := make(map[Key]bool)
@@ -162,6 +170,9 @@
 	}
 	for key, e := range t.evidence(nil) {
 		isExplained := !slices.ContainsFunc(e.crashes, func(r *record) bool { return !explained[r] })
+		if e.isAnsweredPart() {
+			isExplained = slices.ContainsFunc(e.crashes, func(r *record) bool { return explained[r] })
+		}
 		b := t.blocks[key]
 		switch {
 		case b == nil || found[key] || !isExplained:
@@ -186,14 +197,14 @@
 
 // strongest returns the keys that come next: the one with the most crashes that are not
 // explained, among those that are blocked or have enough evidence, and those that were at
-// the same engines, which nothing tells from it. unsettled is set if another one may have
+// the same engines, which nothing tells from it, not even earlier answers. unsettled is set if another one may have
 // enough once all reports have arrived.
 func (t *Table) strongest(now time.Duration, explained map[*record]bool) (found []*evidence, unsettled bool) {
 	var candidates []*evidence
 	all := t.evidence(explained)
 	for _, e := range all {
 		switch {
-		case t.blocks[e.key] != nil || e.isEnough():
+		case t.blocks[e.key] != nil && !e.isAnsweredPart() || e.isEnough():
 			candidates = append(candidates, e)
 		case !e.isEnoughAlone() || !isAlone(e, all):
 		case now-e.last().at >= SettleTime:
@@ -206,14 +217,64 @@
 		return nil, unsettled
 	}
 	slices.SortFunc(candidates, t.compareStrength)
+	first := preferUnanswered(candidates)
 	for _, e := range candidates {
-		if slices.Equal(e.crashes, candidates[0].crashes) {
+		if slices.Equal(e.crashes, first.crashes) && (first.wasAnswered || !e.wasAnswered) {
 			found = append(found, e)
 		}
 	}
 	return t.narrowest(found), unsettled
 }
 
+// preferUnanswered returns the first candidate, unless engines have answered its key before
+// and another one of its kind was never answered: what sound requests share with crashing
+// ones was at all of their crashes, and at others by chance.
+func preferUnanswered(candidates []*evidence) *evidence {
+	first := candidates[0]
+	if !first.wasAnswered {
+		return first
+	}
+	for _, e := range candidates {
+		if e.key.Kind == first.key.Kind && !e.wasAnswered {
+			return e
+		}
+	}
+	return first
+}
+
+func (e *evidence) isAnsweredPart() bool {
+	return e.key.Kind == PromptPart && e.wasAnswered
+}
+
+// isExplainedByOther reports whether engines have answered a key before, and blocked keys that
+// they never answered were at all crashes that speak against it.
+func (t *Table) isExplainedByOther(key Key) bool {
+	if !t.wasAnswered(key) {
+		return false
+	}
+	isCause := func(other Key) bool { return other != key && t.blocks[other] != nil && !t.wasAnswered(other) }
+	explained := false
+	for _, r := range t.crashes {
+		suspects := r.suspects()
+		if _, suspected := suspects[key]; !suspected || t.isCleared(key, r.at) {
+			continue
+		}
+		if explained = containsKey(suspects, isCause); !explained {
+			return false
+		}
+	}
+	return explained
+}
+
+func containsKey(suspects map[Key]sources, matches func(Key) bool) bool {
+	for key := range suspects {
+		if matches(key) {
+			return true
+		}
+	}
+	return false
+}
+
 // compareStrength orders what has more crashes first, and of as many what is blocked.
 func (t *Table) compareStrength(a, b *evidence) int {
 	isBlocked := func(e *evidence) int {
--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -12,6 +12,9 @@
 	// recentAnswer is how long before a crash an answer clears what it was given to:
 	// parts that many requests share are at every engine that ends.
 	recentAnswer = time.Second
+	// partAnswerTTL is how long an answer tells a prompt part from others that were at the
+	// same crashes: a few minutes of requests have most parts that sound ones share.
+	partAnswerTTL = 2 * time.Minute
 	// sameCrash is the time within which reports are about one crash if the process has
 	// no incarnation: one that starts again may have its identifier.
 	sameCrash = 2 * time.Second
@@ -54,6 +57,9 @@
 	// SentAt is when the suspects were sent there; 0 if it is not known.
 	SentAt   time.Duration
 	Suspects []Suspect
+	// Answered holds what the daemon that saw the crash knows of earlier answers on the
+	// suspects' parts.
+	Answered []Answered
 }
 
 // Failure is a request that an engine broke off. SentAt and At are readings of the
@@ -136,6 +142,9 @@
 // because of it, and what is not as another key explains the crashes better.
 func (t *Table) RecordCrash(now time.Duration, crash Crash) Changes {
 	t.sweep(now)
+	for _, a := range crash.Answered {
+		t.RecordAnswer(now, a.At, []Key{a.Key})
+	}
 	r := t.recordOf(crash)
 	isNew := false
 	for _, suspect := range crash.Suspects {
@@ -226,7 +235,7 @@
 			continue
 		case at > b.since:
 			t.unblockedAt[key] = at
-		case t.isRefuted(key):
+		case t.isRefuted(key) || t.isExplainedByOther(key):
 			t.unblockedAt[key] = now
 		default:
 			continue
@@ -251,11 +260,20 @@
 	return ok && answeredAt >= crashAt-recentAnswer
 }
 
-// AnsweredAt returns when an engine last answered a request with a key, and false if that
-// isn't known.
-func (t *Table) AnsweredAt(key Key) (at time.Duration, ok bool) {
-	at, ok = t.answeredAt[key]
-	return at, ok
+// wasAnswered reports whether engines are known to have answered a key at all.
+func (t *Table) wasAnswered(key Key) bool {
+	_, ok := t.answeredAt[key]
+	return ok
+}
+
+// AnsweredParts returns what is known of earlier answers on a suspect's parts.
+func (t *Table) AnsweredParts(suspect Suspect) (answered []Answered) {
+	for _, part := range suspect.Parts {
+		if at, ok := t.answeredAt[PartKey(part)]; ok {
+			answered = append(answered, Answered{PartKey(part), at})
+		}
+	}
+	return answered
 }
 
 // Uncleared returns a suspect of a crash at a time without what answers of the last
@@ -292,7 +310,11 @@
 		}
 	}
 	for key, at := range t.answeredAt {
-		if now-at > recentAnswer && !suspected[key] {
+		ttl := recentAnswer
+		if key.Kind == PromptPart {
+			ttl = partAnswerTTL
+		}
+		if now-at > ttl && !suspected[key] {
 			delete(t.answeredAt, key)
 		}
 	}
--- a/internal/quarantine/table_test.go
+++ b/internal/quarantine/table_test.go
@@ -154,6 +154,43 @@
 				}
 			}
 		}, []topology.PromptPart{crashing}},
+		{"beside a part that engines have answered before", func(e *events) {
+			e.answer(0xa0)
+			e.pass(time.Minute)
+			for n := range 3 {
+				e.crash(prompt(0xa0, crashing, topology.PromptPart(100+n)))
+				e.pass(200 * time.Millisecond)
+			}
+		}, []topology.PromptPart{crashing}},
+		{"beside a part that engines have answered before and that was at more crashes", func(e *events) {
+			e.answer(0xa0)
+			e.pass(time.Minute)
+			e.crash(prompt(0xa0, 99))
+			for n := range 3 {
+				e.pass(200 * time.Millisecond)
+				e.crash(prompt(0xa0, crashing, topology.PromptPart(100+n)))
+			}
+		}, []topology.PromptPart{crashing}},
+		{"a part that engines have answered before, and no other", func(e *events) {
+			e.answer(crashing)
+			e.pass(time.Minute)
+			for n := range 4 {
+				e.crash(prompt(0xa0+topology.PromptPart(n), crashing, topology.PromptPart(100+n)))
+				e.pass(200 * time.Millisecond)
+			}
+		}, []topology.PromptPart{crashing}},
+		{"beside a part of which another daemon tells an answer before the crashes", func(e *events) {
+			answeredAt := e.now
+			e.pass(time.Minute)
+			for n := range 3 {
+				e.crash(prompt(0xa0, crashing, topology.PromptPart(100+n)))
+				e.pass(200 * time.Millisecond)
+			}
+			e.table.RecordAnswer(e.now, answeredAt, []Key{PartKey(0xa0)})
+			if e.table.Block(e.now, e.now, PartKey(0xa0)) {
+				panic("blocked again by a daemon that doesn't know of the answer")
+			}
+		}, []topology.PromptPart{crashing}},
 		{"only waiting, beside one that had begun", func(e *events) {
 			for n := range 3 {
 				process := Process{ID: fmt.Sprint("w-", n), Incarnation: 1}
