quarantine: requests without a head of an answer are suspects beside others with one

Cause: at such a crash the requests without a head counted as waiting, and their parts only if no other request had begun an answer there, which one nearly always had; so the crashing part was never suspected. Which request of an engine is at work can't be seen from its answers.

Begun is still sent, as daemons of former builds read it.

The case 'only waiting, beside one that had begun' assumed that what waits can't be the cause. It is replaced by three: one that waits is the cause, beside others that had begun (failed before, nothing was blocked); one that waits at all three crashes is sound, known by an earlier answer; one that waits at two of three.

--- a/internal/quarantine/block.go
+++ b/internal/quarantine/block.go
@@ -136,7 +136,7 @@
 // recordCrashOfBlocked starts the time until the next trial anew.
 func (t *Table) recordCrashOfBlocked(now, crashAt time.Duration, suspect Suspect) {
 	for _, part := range suspect.Parts {
-		if b := t.blocks[PartKey(part)]; b != nil && suspect.Begun {
+		if b := t.blocks[PartKey(part)]; b != nil {
 			b.recordCrash(now)
 		}
 	}
@@ -200,7 +200,7 @@
 	latest := maps.Clone(t.unblockedAt)
 	crashes := make(map[Key]int)
 	for _, r := range t.crashes {
-		for key := range r.suspects() {
+		for key := range r.suspects {
 			crashes[key]++
 			if t.isCleared(key, r.at) && (key.Kind == PromptPart || crashes[key] >= minSpreadCrashes) {
 				latest[key] = max(latest[key], t.answeredAt[key])
--- a/internal/quarantine/evidence.go
+++ b/internal/quarantine/evidence.go
@@ -48,7 +48,7 @@
 		if explained[r] {
 			continue
 		}
-		for key, from := range r.suspects() {
+		for key, from := range r.suspects {
 			if t.isCleared(key, r.at) {
 				continue
 			}
@@ -113,7 +113,7 @@
 	cleared := false
 	e := t.newEvidence(key)
 	for _, r := range t.crashes {
-		from, suspected := r.suspects()[key]
+		from, suspected := r.suspects[key]
 		switch {
 		case !suspected:
 		case t.isCleared(key, r.at):
@@ -189,7 +189,7 @@
 
 func (t *Table) markExplained(key Key, explained map[*record]bool) {
 	for _, r := range t.crashes {
-		if _, suspected := r.suspects()[key]; suspected {
+		if _, suspected := r.suspects[key]; suspected {
 			explained[r] = true
 		}
 	}
@@ -255,11 +255,10 @@
 	isCause := func(other Key) bool { return other != key && t.blocks[other] != nil && !t.wasAnswered(other) }
 	explained := false
 	for _, r := range t.crashes {
-		suspects := r.suspects()
-		if _, suspected := suspects[key]; !suspected || t.isCleared(key, r.at) {
+		if _, suspected := r.suspects[key]; !suspected || t.isCleared(key, r.at) {
 			continue
 		}
-		if explained = containsKey(suspects, isCause); !explained {
+		if explained = containsKey(r.suspects, isCause); !explained {
 			return false
 		}
 	}
--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -45,8 +45,8 @@
 	Source topology.PromptPart
 	// Parts are the other parts.
 	Parts []topology.PromptPart
-	// Begun is set if the engine had begun to answer the request. The parts of others
-	// count only at a crash at which no begun one is known.
+	// Begun is set if the engine had begun to answer the request, for daemons of former builds:
+	// an engine may crash before the first byte of an answer as well as after.
 	Begun bool
 }
 
@@ -87,32 +87,11 @@
 type record struct {
 	process Process
 	at      time.Duration
-	// begun and waiting hold the parts of requests that the engine had begun to answer
-	// and of others, with their sessions. requests holds the requests themselves, whether
-	// begun or not: a request is at engine after engine only if it comes again.
-	begun, waiting, requests map[Key]sources
+	// suspects holds what may have ended the process, with the sessions: the requests that
+	// the engine had, and the parts of their prompts.
+	suspects map[Key]sources
 	// sentAt is when requests were sent to the engine.
 	sentAt map[Key]time.Duration
-	// all is what suspects returns; nil if it must be collected again.
-	all map[Key]sources
-}
-
-// suspects returns what may have ended the process.
-func (r *record) suspects() map[Key]sources {
-	if r.all != nil {
-		return r.all
-	}
-	parts := r.begun
-	if len(parts) == 0 {
-		parts = r.waiting
-	}
-	r.all = make(map[Key]sources, len(parts)+len(r.requests))
-	for _, keys := range []map[Key]sources{parts, r.requests} {
-		for key, from := range keys {
-			r.all[key] = from
-		}
-	}
-	return r.all
 }
 
 // Table holds what one daemon knows of crashes and blocks. All times are readings of
@@ -169,7 +148,7 @@
 		}
 		r = &record{
 			process: crash.Process, at: crash.At,
-			begun: make(map[Key]sources), waiting: make(map[Key]sources), requests: make(map[Key]sources), sentAt: make(map[Key]time.Duration),
+			suspects: make(map[Key]sources), sentAt: make(map[Key]time.Duration),
 		}
 		t.crashes = append(t.crashes, r)
 	}
@@ -193,21 +172,14 @@
 
 // add adds a suspect and reports whether it brings anything new.
 func (r *record) add(suspect Suspect, sentAt time.Duration) (isNew bool) {
-	parts := r.waiting
-	if suspect.Begun {
-		parts = r.begun
-	}
 	for _, part := range suspect.Parts {
-		isNew = addSource(parts, PartKey(part), suspect.Source) || isNew
+		isNew = addSource(r.suspects, PartKey(part), suspect.Source) || isNew
 	}
 	if suspect.Request != 0 {
 		key := RequestKey(suspect.Request)
-		isNew = addSource(r.requests, key, suspect.Source) || isNew
+		isNew = addSource(r.suspects, key, suspect.Source) || isNew
 		r.sentAt[key] = max(r.sentAt[key], sentAt)
 	}
-	if isNew {
-		r.all = nil
-	}
 	return isNew
 }
 
@@ -249,7 +221,7 @@
 // isSuspected reports whether a request with a key was at an engine that ended.
 func (t *Table) isSuspected(key Key) bool {
 	return slices.ContainsFunc(t.crashes, func(r *record) bool {
-		_, suspected := r.suspects()[key]
+		_, suspected := r.suspects[key]
 		return suspected
 	})
 }
@@ -305,7 +277,7 @@
 	suspected := make(map[Key]bool)
 	t.crashes = slices.DeleteFunc(t.crashes, func(r *record) bool { return now-r.at > evidenceTTL })
 	for _, r := range t.crashes {
-		for key := range r.suspects() {
+		for key := range r.suspects {
 			suspected[key] = true
 		}
 	}
--- a/internal/quarantine/table_test.go
+++ b/internal/quarantine/table_test.go
@@ -191,7 +191,17 @@
 				panic("blocked again by a daemon that doesn't know of the answer")
 			}
 		}, []topology.PromptPart{crashing}},
-		{"only waiting, beside one that had begun", func(e *events) {
+		{"only waiting, beside others that had begun", func(e *events) {
+			for n := range 3 {
+				process := Process{ID: fmt.Sprint("w-", n), Incarnation: 1}
+				e.crashOf(process, true, prompt(topology.PromptPart(0xa0+n), topology.PromptPart(200+n)))
+				e.crashOf(process, false, prompt(crashing, topology.PromptPart(100+n)))
+				e.pass(time.Second)
+			}
+		}, []topology.PromptPart{crashing}},
+		{"beside one that waits at all three, and that engines have answered before", func(e *events) {
+			e.answer(0xa0)
+			e.pass(time.Minute)
 			for n := range 3 {
 				process := Process{ID: fmt.Sprint("w-", n), Incarnation: 1}
 				e.crashOf(process, false, prompt(0xa0, topology.PromptPart(200+n)))
@@ -199,6 +209,16 @@
 				e.pass(time.Second)
 			}
 		}, []topology.PromptPart{crashing}},
+		{"beside one that waits at two of three", func(e *events) {
+			for n := range 3 {
+				process := Process{ID: fmt.Sprint("w-", n), Incarnation: 1}
+				if n > 0 {
+					e.crashOf(process, false, prompt(0xa0, topology.PromptPart(200+n)))
+				}
+				e.crashOf(process, true, prompt(crashing, topology.PromptPart(100+n)))
+				e.pass(time.Second)
+			}
+		}, []topology.PromptPart{crashing}},
 		{"no response head of any request has arrived", func(e *events) {
 			for n := range 3 {
 				e.crashOf(Process{ID: fmt.Sprint("w-", n), Incarnation: 1}, false, prompt(crashing, topology.PromptPart(100+n)))
