gateway: an engine found alive before a break is looked at again

A result 'alive' now counts for breaks from before the attempt only; 'ended' serves for a second as before. TestEndOfEngineIsFoundRightAfterItWasFoundAlive failed before.

--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -62,7 +62,7 @@
 
 // EngineFailed implements relay.Quarantine.
 func (g *Gateway) EngineFailed(ctx context.Context, id string, upstream topology.Upstream, failure quarantine.Failure) (ended bool) {
-	if ended, probedAt := g.hasEnded(ctx, upstream); !ended {
+	if ended, probedAt := g.hasEnded(ctx, upstream, failure.At); !ended {
 		g.log.Info("engine broke a request off and is not known to have ended", "id", id, "upstream", upstream.ID, "begun", failure.Begun,
 			"fingerprint", failure.Request.Fingerprint.String(), "probed_ms", (probedAt - failure.At).Milliseconds())
 		return false
--- a/internal/gateway/quarantine_probe.go
+++ b/internal/gateway/quarantine_probe.go
@@ -18,7 +18,7 @@
 	// endingTime is how long a process that ends may still listen after it has reset its
 	// connections.
 	endingTime = 50 * time.Millisecond
-	// probeTTL is how long the result of such an attempt is used.
+	// probeTTL is how long the result of such an attempt is used at most.
 	probeTTL = time.Second
 	// maxWitnesses is the number of other engines of which one must be reachable for an
 	// engine to count as ended: a VM that is cut off from all engines knows nothing.
@@ -32,37 +32,55 @@
 	ended     bool
 }
 
-// hasEnded reports whether the process of an engine has ended, as far as a new
-// connection shows that was tried from probedAt on. Requests that failed at the same time
-// share the attempt.
-func (g *Gateway) hasEnded(ctx context.Context, upstream topology.Upstream) (ended bool, probedAt time.Duration) {
+// hasEnded reports whether the process of an engine that broke a request off at a time has
+// ended, as far as a new connection shows that was tried from probedAt on.
+func (g *Gateway) hasEnded(ctx context.Context, upstream topology.Upstream, brokenAt time.Duration) (ended bool, probedAt time.Duration) {
+	for {
+		p := g.findProbe(upstream, brokenAt)
+		select {
+		case <-p.done:
+		case <-ctx.Done():
+			return false, p.startedAt
+		}
+		// That the engine was there before the break shows nothing.
+		if p.ended || p.startedAt >= brokenAt {
+			return p.ended, p.startedAt
+		}
+	}
+}
+
+// findProbe returns an attempt that began after a break, or may have found the engine ended
+// before, and begins one if there is none. Requests that failed together share it.
+func (g *Gateway) findProbe(upstream topology.Upstream, brokenAt time.Duration) *probe {
 	process := quarantine.Process{ID: upstream.ID, Incarnation: upstream.Incarnation}
 	now := clock.Boot()
 	q := g.quarantined
 	q.mu.Lock()
+	defer q.mu.Unlock()
 	for other, p := range q.probes {
 		if now-p.startedAt > probeTTL {
 			delete(q.probes, other)
 		}
 	}
-	p := q.probes[process]
-	isNew := p == nil
-	if isNew {
-		p = &probe{startedAt: now, done: make(chan struct{})}
-		q.probes[process] = p
-	}
-	q.mu.Unlock()
-	if isNew {
-		go func() {
-			p.ended = g.refusesConnections(upstream) && g.reachesOthers(upstream)
-			close(p.done)
-		}()
+	if p := q.probes[process]; p != nil && (p.startedAt >= brokenAt || !p.foundAlive()) {
+		return p
 	}
+	p := &probe{startedAt: now, done: make(chan struct{})}
+	q.probes[process] = p
+	go func() {
+		p.ended = g.refusesConnections(upstream) && g.reachesOthers(upstream)
+		close(p.done)
+	}()
+	return p
+}
+
+// foundAlive reports whether the attempt is over and has found the engine there.
+func (p *probe) foundAlive() bool {
 	select {
 	case <-p.done:
-		return p.ended, p.startedAt
-	case <-ctx.Done():
-		return false, p.startedAt
+		return !p.ended
+	default:
+		return false
 	}
 }
 
