hop: a reset while the request is written ends no answer without a length

Cause: the kernel reports a reset once, and the goroutine that writes the request took the report; the reader then saw the end of the connection, which is how a body without a length ends.

The end of such a body now counts only if the request was written without an error, or is within half a second: an upstream that ends its answer early and reads on stays whole. The same holds for net/http's transport, so hop.RoundTrip and hop.Transport bring the check to the plain services and engines of serve, to the platform's store and to etcd; other VMs are reached over hop as it is.

--- a/internal/hop/exchange.go
+++ b/internal/hop/exchange.go
@@ -27,6 +27,10 @@
 // maxInformational limits the informational responses before a response.
 const maxInformational = 16
 
+// maxWriteLinger is how long after the end of a response without a length the request may
+// still be on its way to an upstream that reads on.
+const maxWriteLinger = 500 * time.Millisecond
+
 // Request is one request, sent without changes.
 type Request struct {
 	Method string
@@ -98,7 +102,6 @@
 	// Skipped is the number of responses to other requests that were skipped.
 	Skipped int
 	conn    *conn
-	written <-chan error
 	// respondedEarly is set if the response arrived before the request was
 	// completely written.
 	respondedEarly   bool
@@ -137,15 +140,9 @@
 		c.close()
 		return nil, &Error{Written: true, Reused: c.reused, Conn: c.id, Skipped: skipped, Err: contextCause(ctx, err)}
 	}
-	body := &trackedBody{source: response.Body}
-	response.Body = body
-	r := &Response{Response: response, Skipped: skipped, conn: c, written: written, body: body, stopContextWatch: stop}
-	select {
-	case err := <-written:
-		r.respondedEarly = err != nil
-	default:
-		r.respondedEarly = true
-	}
+	r := &Response{Response: response, Skipped: skipped, conn: c, respondedEarly: !written.succeeded(0), stopContextWatch: stop}
+	r.body = &trackedBody{source: response.Body, framed: r.Framed(), written: written}
+	response.Body = r.body
 	return r, nil
 }
 
@@ -159,21 +156,45 @@
 	return err
 }
 
+// requestWrite is the writing of a request.
+type requestWrite struct {
+	// done is closed when it is over, and err is set before.
+	done chan struct{}
+	err  error
+}
+
+// succeeded reports whether the request was written completely, within a time from now.
+func (w *requestWrite) succeeded(within time.Duration) bool {
+	timer := time.NewTimer(within)
+	defer timer.Stop()
+	select {
+	case <-w.done:
+		return w.err == nil
+	default:
+	}
+	select {
+	case <-w.done:
+		return w.err == nil
+	case <-timer.C:
+		return false
+	}
+}
+
 // write sends the request. A long request is sent by a separate goroutine,
 // which ends at the latest when the connection is closed.
-func (c *conn) write(request *Request) (<-chan error, error) {
+func (c *conn) write(request *Request) (*requestWrite, error) {
 	message := encodeRequest(request)
-	done := make(chan error, 1)
+	w := &requestWrite{done: make(chan struct{})}
+	send := func() {
+		defer close(w.done)
+		_, w.err = c.Write(message)
+	}
 	if len(message) <= asyncWriteBytes {
-		_, err := c.Write(message)
-		done <- err
-		return done, err
+		send()
+		return w, w.err
 	}
-	go func() {
-		_, err := c.Write(message)
-		done <- err
-	}()
-	return done, nil
+	go send()
+	return w, nil
 }
 
 func encodeRequest(request *Request) []byte {
@@ -243,7 +264,11 @@
 // Framed reports whether the response has a Content-Length or is chunked. If
 // so, the closing of the connection does not end it.
 func (r *Response) Framed() bool {
-	return r.ContentLength >= 0 || chunked(r.Response)
+	return isFramed(r.Response)
+}
+
+func isFramed(response *http.Response) bool {
+	return response.ContentLength >= 0 || chunked(response)
 }
 
 // Release ends an exchange whose body was read to its end. It keeps the
@@ -297,13 +322,21 @@
 
 // trackedBody records whether a body was read to its end.
 type trackedBody struct {
-	source     io.ReadCloser
+	source io.ReadCloser
+	// framed is Response.Framed, and written the writing of the request.
+	framed     bool
+	written    *requestWrite
 	reachedEOF bool
 }
 
 // Read implements io.Reader.
 func (b *trackedBody) Read(p []byte) (int, error) {
 	n, err := b.source.Read(p)
+	// The kernel reports a reset once. If the writer has got it, the reader sees the end of
+	// the connection, which ends a body without a length.
+	if err == io.EOF && !b.framed && !b.written.succeeded(maxWriteLinger) {
+		return n, io.ErrUnexpectedEOF
+	}
 	if err == io.EOF {
 		b.reachedEOF = true
 	}
--- a/internal/infra/etcd.go
+++ b/internal/infra/etcd.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/barleylift/barleylift/internal/hop"
 	"github.com/barleylift/barleylift/internal/infra/etcdjson"
 )
 
@@ -102,7 +103,7 @@
 func newHTTPClient(base *http.Client) *http.Client {
 	transport := http.DefaultTransport.(*http.Transport).Clone()
 	transport.MaxIdleConnsPerHost = idleConnections
-	client := &http.Client{Transport: transport}
+	client := &http.Client{Transport: hop.Transport{Transport: transport}}
 	if base != nil {
 		client.Transport = base.Transport
 		client.Jar = base.Jar
--- a/internal/upstream/engine.go
+++ b/internal/upstream/engine.go
@@ -11,6 +11,7 @@
 
 	"github.com/barleylift/barleylift/internal/call"
 	"github.com/barleylift/barleylift/internal/catalog"
+	"github.com/barleylift/barleylift/internal/hop"
 )
 
 // Headers between barleylift and engines.
@@ -93,12 +94,12 @@
 	setDefault(&c.MaxResponseBytes, defaultMaxResponseBytes)
 	setDefault(&c.MaxResumes, defaultMaxResumes)
 	if c.Client == nil {
-		c.Client = &http.Client{Transport: newTransport(c.Engine.MaxRunning)}
+		c.Client = &http.Client{Transport: hop.Transport{Transport: newTransport(c.Engine.MaxRunning)}}
 	}
 	if c.Probe == nil {
 		probe := newTransport(0)
 		probe.DisableKeepAlives = true
-		c.Probe = &http.Client{Transport: probe}
+		c.Probe = &http.Client{Transport: hop.Transport{Transport: probe}}
 	}
 	if c.OnResponseDropped == nil {
 		c.OnResponseDropped = func(string) {}
--- a/internal/upstream/service_attempt.go
+++ b/internal/upstream/service_attempt.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/barleylift/barleylift/internal/call"
+	"github.com/barleylift/barleylift/internal/hop"
 )
 
 // defaultServiceTimeout limits the time without progress on a route that states
@@ -96,7 +97,7 @@
 		return nil, &ServiceError{Replica: r.address, Code: call.CodeBadRequest, Err: err}
 	}
 	r.inFlight.Add(1)
-	response, err := r.transport(request.Repeatable).RoundTrip(httpRequest)
+	response, err := hop.RoundTrip(r.transport(request.Repeatable), httpRequest)
 	if err != nil {
 		timer.stop()
 		cancel()
