hop: a response with an invalid head is an error

Cause: net/http takes any three characters that are a number for a status, and a blank in a field's name; 'Content-Length ' with a blank then frames nothing. A control byte or a tab in a name or a value was an error already.

Responses with a status outside 100 to 599, or a blank in a field's name, are errors now, informational ones too, on all connections of hop (engines, replicas, other VMs) and of net/http's transport (serve's engines and plain services, the store, etcd).

--- a/internal/hop/exchange.go
+++ b/internal/hop/exchange.go
@@ -221,6 +221,9 @@
 		if err != nil {
 			return nil, skipped, err
 		}
+		if err := checkHead(response); err != nil {
+			return nil, skipped, err
+		}
 		c.limited.remaining = math.MaxInt64
 		if response.StatusCode/100 == 1 {
 			if informational++; informational > maxInformational {
--- a/internal/hop/round_trip.go
+++ b/internal/hop/round_trip.go
@@ -17,7 +17,8 @@
 	return RoundTrip(t.Transport, request)
 }
 
-// RoundTrip sends a request over a transport of net/http. A body without a length that ends
+// RoundTrip sends a request over a transport of net/http. A response whose head is invalid is
+// an error; see checkHead. A body without a length that ends
 // while the request is being written is not taken for whole; see trackedBody.
 func RoundTrip(transport http.RoundTripper, request *http.Request) (*http.Response, error) {
 	written := &requestWrite{done: make(chan struct{})}
@@ -32,6 +33,11 @@
 	if err != nil {
 		return nil, err
 	}
+	if err := checkHead(response); err != nil {
+		// The error says more than one of the close.
+		_ = response.Body.Close()
+		return nil, err
+	}
 	if response.ProtoMajor == 1 && !isFramed(response) {
 		response.Body = &closingBody{trackedBody{source: response.Body, written: written}}
 	}
