--- a/internal/hop/exchange.go
+++ b/internal/hop/exchange.go
@@ -165,17 +165,18 @@
 
 // succeeded reports whether the request was written completely, within a time from now.
 func (w *requestWrite) succeeded(within time.Duration) bool {
-	timer := time.NewTimer(within)
-	defer timer.Stop()
 	select {
 	case <-w.done:
 		return w.err == nil
 	default:
 	}
+	if within <= 0 {
+		return false
+	}
 	select {
 	case <-w.done:
 		return w.err == nil
-	case <-timer.C:
+	case <-time.After(within):
 		return false
 	}
 }
