--- a/internal/hop/faulty_response_test.go
+++ b/internal/hop/faulty_response_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 )
@@ -115,16 +116,21 @@
 	if _, err := http.ReadResponse(bufio.NewReader(strings.NewReader(head)), nil); err != nil {
 		t.Fatal(err)
 	}
-	stop := make(chan int, 1)
+	var stop atomic.Int64
 	_, pool := newScriptedServer(t, func(conn net.Conn, _ int32) bool {
-		fmt.Fprint(conn, head[:<-stop])
+		fmt.Fprint(conn, head[:stop.Load()])
 		return false
 	})
+	client := &http.Client{Transport: Transport{Transport: &http.Transport{DisableKeepAlives: true}}}
 	for n := range len(head) {
-		stop <- n
+		stop.Store(int64(n))
 		if response, err := send(t, pool, "a", 0); err == nil {
 			t.Errorf("stopped after %d bytes: got status %d and %v", n, response.StatusCode, response.Header)
 			response.Discard()
 		}
+		if response, err := client.Post("http://"+pool.address.String(), "", nil); err == nil {
+			t.Errorf("stopped after %d bytes: the transport got status %d and %v", n, response.StatusCode, response.Header)
+			response.Body.Close()
+		}
 	}
 }
