relay: a stream that has begun goes on with nothing but its events

Causes: an answer of the next engine that has no event and a length was taken for a plain body, whatever had been forwarded before; an empty one for the end of the stream; a block of text for an event without an identifier; and where other VMs send the request to engines, any failure was forwarded as a body although the head had been sent.

An answer that goes on with a stream must bring events, the first with an identifier, or the stream goes on elsewhere or is broken off. An engine that answers a take-up of the last event with an empty stream is asked again by the caller, whose own take-up may still be answered so.

serve decodes each part of an engine's stream and ends it at '[DONE]' only; its resumed streams end as incomplete after any other answer (read, no new test).

--- a/internal/relay/pass_on.go
+++ b/internal/relay/pass_on.go
@@ -109,6 +109,11 @@
 	if result.response.StatusCode/100 == 2 {
 		return e.forward(via, result)
 	}
+	if e.headSent {
+		e.relay.log.Info("VM did not go on with the stream", "id", e.call.ID, "vm", vm, "status", result.response.StatusCode)
+		drain(result)
+		return !e.mayRunAgain() && e.endBroken("no VM could go on with the stream")
+	}
 	ended := e.forwardBody(via, result)
 	if e.outcome == outcomeAnswered && !result.head.Signed {
 		e.outcome = outcomeUnknown
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -72,8 +72,12 @@
 }
 
 // inOrder reports whether an event's identifier is higher than the previous
-// event's. Identifiers that are not integers are not compared.
+// event's. Identifiers that are not integers are not compared. The first event with which
+// another engine goes on must have one: without it, the event may be anything.
 func (e *exchange) inOrder(id string) bool {
+	if id == "" && e.goesOn() && e.engineEvents == 0 {
+		return false
+	}
 	if id == "" || e.lastEventID == "" {
 		return true
 	}
@@ -115,15 +119,23 @@
 	return true
 }
 
+// goesOn reports whether the current answer goes on with a stream that another one began.
+func (e *exchange) goesOn() bool {
+	return e.headSent && e.events > e.engineEvents
+}
+
 // hasContent reports whether an answer that ends after a whole event, or without one, may be
-// complete: one that is empty must say so by its framing.
+// complete: one that is empty must say so by its framing, and not go on with a stream.
 func (e *exchange) hasContent(result sendResult) bool {
-	return e.engineEvents > 0 || result.response.Framed()
+	return e.engineEvents > 0 || result.response.Framed() && !e.goesOn()
 }
 
 // isPlainBody reports whether a complete answer on a streaming route is no stream: it
-// has no event and doesn't say that it has any.
+// has no event, doesn't say that it has any, and doesn't go on with one.
 func (e *exchange) isPlainBody(result sendResult) bool {
+	if e.goesOn() {
+		return false
+	}
 	mediaType, _, _ := strings.Cut(result.response.Header.Get("Content-Type"), ";")
 	isStream := strings.EqualFold(strings.TrimSpace(mediaType), "text/event-stream")
 	return e.engineEvents == 0 && !isStream && result.response.Framed()
