quarantine: parts that can't be told apart are told apart within seconds

Cause: new processes know no earlier answers, so a part that sound requests share with the crashing ones is blocked with it, and waited 5 s for a trial that only one of all VMs may make; callers were told to come back after 20 to 40 s. Besides, what had once been ambiguous stayed so: after the sound part was answered the crashing one was tried again and again, by each VM.

Such parts are tried after 1 s, at first by the first VM in their order, and by one more each 0.3 s; callers come back after 2 to 4 s. An answer that lifts a block now leads to a new explanation of the crashes: a part that explains them alone isn't ambiguous any more, and one that a lifted part had explained may be blocked in its place.

Failed before: TestPartsThatCannotBeToldApartAreTriedSoon.

--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -39,15 +39,17 @@
 	q := g.quarantined
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	return q.table.Judge(clock.Boot(), request, g.isSteward)
+	return q.table.Judge(clock.Boot(), request, func(key quarantine.Key, others int) bool {
+		return g.isAmongFirst(storeKey(key), 1+others)
+	})
 }
 
-// IsBlocked implements relay.Quarantine.
-func (g *Gateway) IsBlocked(request quarantine.Request, verdict quarantine.Verdict) (quarantine.Key, bool) {
+// Recheck implements relay.Quarantine.
+func (g *Gateway) Recheck(request quarantine.Request, earlier quarantine.Verdict) quarantine.Verdict {
 	q := g.quarantined
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	return q.table.IsBlocked(request, verdict)
+	return q.table.Recheck(request, earlier)
 }
 
 // EngineAnswered implements relay.Quarantine.
@@ -55,9 +57,9 @@
 	now := clock.Boot()
 	q := g.quarantined
 	q.mu.Lock()
-	unblocked := q.table.RecordAnswer(now, now, request.Keys())
+	changes := q.table.RecordAnswer(now, now, request.Keys())
 	q.mu.Unlock()
-	g.logUnblocked(unblocked, "request "+id)
+	g.logAnswered(changes, "request "+id)
 }
 
 // EngineFailed implements relay.Quarantine.
@@ -149,16 +151,19 @@
 	g.relay.Withhold(key)
 }
 
-func (g *Gateway) logUnblocked(keys []quarantine.Key, source string) {
-	for _, key := range keys {
+// logAnswered logs the changes after an answer.
+func (g *Gateway) logAnswered(changes quarantine.Changes, source string) {
+	for _, key := range changes.Unblocked {
 		g.log.Info("engines answer requests with a blocked cause of crashes again", "cause", key.String(), "source", source)
 	}
+	for _, key := range changes.Blocked {
+		g.logBlocked(key, source)
+	}
 }
 
 // isSteward reports whether this daemon is the steward of a key.
 func (g *Gateway) isSteward(key quarantine.Key) bool {
-	name, _, ok := g.firstMember(storeKey(key))
-	return ok && name == g.settings.Load().VM
+	return g.isAmongFirst(storeKey(key), 1)
 }
 
 // blocked lists the identifiers of the blocked keys of a kind, for the status page.
--- a/internal/gateway/quarantine_spread.go
+++ b/internal/gateway/quarantine_spread.go
@@ -81,10 +81,12 @@
 		return
 	}
 	q := g.quarantined
-	var blocked, unblocked []quarantine.Key
+	var blocked []quarantine.Key
+	var changes quarantine.Changes
 	q.mu.Lock()
 	for key, at := range answered {
-		unblocked = append(unblocked, q.table.RecordAnswer(now, at, []quarantine.Key{key})...)
+		c := q.table.RecordAnswer(now, at, []quarantine.Key{key})
+		changes.Blocked, changes.Unblocked = append(changes.Blocked, c.Blocked...), append(changes.Unblocked, c.Unblocked...)
 	}
 	for key, since := range others {
 		if q.table.Block(now, since, key) {
@@ -92,7 +94,7 @@
 		}
 	}
 	q.mu.Unlock()
-	g.logUnblocked(unblocked, "heartbeat of "+from)
+	g.logAnswered(changes, "heartbeat of "+from)
 	for _, key := range blocked {
 		g.logBlocked(key, "heartbeat of "+from)
 	}
--- a/internal/gateway/ratelimits.go
+++ b/internal/gateway/ratelimits.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -38,20 +39,34 @@
 // firstMember returns the first member in the rendezvous order of a key, and its mesh
 // address. It returns false if there is none.
 func (g *Gateway) firstMember(key string) (name, address string, ok bool) {
+	first, addresses := g.firstMembers(key, 1)
+	if len(first) == 0 {
+		return "", "", false
+	}
+	return first[0].Engine, addresses[first[0].Engine], true
+}
+
+// firstMembers returns the first n members in the rendezvous order of a key, and the mesh
+// addresses of all by their names.
+func (g *Gateway) firstMembers(key string, n int) (first []placement.Candidate, addresses map[string]string) {
 	members := g.members()
 	candidates := make([]placement.Candidate, 0, len(members))
-	addresses := make(map[string]string, len(members))
+	addresses = make(map[string]string, len(members))
 	for _, m := range members {
 		if !m.Draining {
 			candidates = append(candidates, placement.Candidate{Engine: m.Name})
 			addresses[m.Name] = m.Mesh
 		}
 	}
-	first := placement.Rank(candidates, key, 1)
-	if len(first) == 0 {
-		return "", "", false
-	}
-	return first[0].Engine, addresses[first[0].Engine], true
+	return placement.Rank(candidates, key, n), addresses
+}
+
+// isAmongFirst reports whether this daemon is among the first n members in the rendezvous
+// order of a key.
+func (g *Gateway) isAmongFirst(key string, n int) bool {
+	first, _ := g.firstMembers(key, n)
+	self := g.settings.Load().VM
+	return slices.ContainsFunc(first, func(c placement.Candidate) bool { return c.Engine == self })
 }
 
 // sendTurnRequest sends a request for a turn to the member that grants it.
--- a/internal/quarantine/block.go
+++ b/internal/quarantine/block.go
@@ -18,11 +18,17 @@
 	commonTrialInterval = 2 * time.Second
 	// minCommonRefusals is the number of refusals that tell a part of most requests.
 	minCommonRefusals = 8
-	// ambiguousTrialInterval is the time until the first trial of a key that was at the same
-	// engines as others, which tells them apart; engines that have crashed are back by then.
-	// earlyTrialInterval is that of a request that was alone, but at few engines.
+	// ambiguousTrialInterval is the time until the first trial of a request that was at
+	// the same engines as others, which tells them apart; engines that have crashed are
+	// back by then. ambiguousPartInterval is that of a prompt part, with which many sound
+	// requests wait. earlyTrialInterval is that of a request that was alone, but at few
+	// engines.
 	ambiguousTrialInterval = 5 * time.Second
+	ambiguousPartInterval  = time.Second
 	earlyTrialInterval     = time.Minute
+	// trialStagger is the time after which the next daemon in a key's order may try it as
+	// well, if it is not known what to blame: the first one may get no such request.
+	trialStagger = 300 * time.Millisecond
 	// maxDoublings bounds the doubling of intervals.
 	maxDoublings = 16
 )
@@ -46,15 +52,32 @@
 	failedTrials int
 }
 
-func (b *block) trialDue(now time.Duration, kind Kind) bool {
-	return now-b.triedAt >= b.trialInterval(kind)
+// trialDue reports whether a trial is due, and how many daemons after the first one in the
+// key's order may make it too.
+func (b *block) trialDue(now time.Duration, kind Kind) (others int, due bool) {
+	overdue := now - b.triedAt - b.trialInterval(kind)
+	if overdue < 0 {
+		return 0, false
+	}
+	if kind == PromptPart && b.isUnproven() {
+		others = int(overdue / trialStagger)
+	}
+	return others, true
+}
+
+// isUnproven reports whether other keys were at the same crashes, and no trial has told them
+// apart.
+func (b *block) isUnproven() bool {
+	return b.isAmbiguous && b.failedTrials == 0
 }
 
 func (b *block) trialInterval(kind Kind) time.Duration {
 	doublings := min(b.failedTrials, maxDoublings)
 	switch {
-	case b.isAmbiguous && b.failedTrials == 0:
+	case kind == WholeRequest && b.isUnproven():
 		return ambiguousTrialInterval
+	case b.isUnproven():
+		return ambiguousPartInterval
 	case kind == WholeRequest && b.isEarly && b.failedTrials == 0:
 		return earlyTrialInterval
 	case kind == WholeRequest:
@@ -87,11 +110,14 @@
 	// Trial is set if it may, to show whether engines still crash on Key.
 	Trial bool
 	Key   Key
+	// Unproven is set if a trial will soon show whether engines crash on Key or on something
+	// else.
+	Unproven bool
 }
 
-// Judge decides on a new request. mayTry reports whether this daemon is the one that
-// tries a key again.
-func (t *Table) Judge(now time.Duration, request Request, mayTry func(Key) bool) Verdict {
+// Judge decides on a new request. mayTry reports whether this daemon may try a key again: it is
+// the first one in the key's order, or one of the others that follow.
+func (t *Table) Judge(now time.Duration, request Request, mayTry func(key Key, others int) bool) Verdict {
 	t.sweep(now)
 	if len(t.blocks) == 0 {
 		return Verdict{}
@@ -109,28 +135,36 @@
 		return Verdict{}
 	}
 	first := t.blocks[found[0]]
-	if len(found) == 1 && first.trialDue(now, found[0].Kind) && mayTry(found[0]) {
+	if others, due := first.trialDue(now, found[0].Kind); len(found) == 1 && due && mayTry(found[0], others) {
 		first.triedAt, first.isTried = now, true
 		return Verdict{Trial: true, Key: found[0]}
 	}
 	for _, key := range found {
 		t.blocks[key].refused++
 	}
-	return Verdict{Blocked: true, Key: found[0]}
+	return t.refuse(found)
+}
+
+// refuse returns the verdict on a request with blocked keys.
+func (t *Table) refuse(found []Key) Verdict {
+	return Verdict{Blocked: true, Key: found[0], Unproven: len(found) == 1 && t.blocks[found[0]].isUnproven()}
 }
 
-// IsBlocked returns a blocked key of a request, other than the one that the request tries;
-// false if there is none.
-func (t *Table) IsBlocked(request Request, verdict Verdict) (Key, bool) {
+// Recheck decides anew on a request that may reach an engine by an earlier verdict.
+func (t *Table) Recheck(request Request, earlier Verdict) Verdict {
 	if len(t.blocks) == 0 {
-		return Key{}, false
+		return earlier
 	}
+	var found []Key
 	for _, key := range request.Keys() {
-		if t.blocks[key] != nil && !(verdict.Trial && key == verdict.Key) {
-			return key, true
+		if t.blocks[key] != nil && !(earlier.Trial && key == earlier.Key) {
+			found = append(found, key)
 		}
 	}
-	return Key{}, false
+	if len(found) == 0 {
+		return earlier
+	}
+	return t.refuse(found)
 }
 
 // recordCrashOfBlocked starts the time until the next trial anew.
--- a/internal/quarantine/evidence.go
+++ b/internal/quarantine/evidence.go
@@ -162,7 +162,7 @@
 				changes.Blocked = append(changes.Blocked, e.key)
 			}
 			b := t.blocks[e.key]
-			b.isAmbiguous, b.isEarly = b.isAmbiguous || len(strongest) > 1, !e.isEnough()
+			b.isAmbiguous, b.isEarly = len(strongest) > 1, !e.isEnough()
 		}
 		for _, e := range strongest {
 			t.markExplained(e.key, explained)
--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -122,7 +122,7 @@
 func (t *Table) RecordCrash(now time.Duration, crash Crash) Changes {
 	t.sweep(now)
 	for _, a := range crash.Answered {
-		t.RecordAnswer(now, a.At, []Key{a.Key})
+		t.recordAnswer(now, a.At, []Key{a.Key})
 	}
 	r := t.recordOf(crash)
 	isNew := false
@@ -193,9 +193,19 @@
 }
 
 // RecordAnswer records that an engine answered at a time a request with the keys, and
-// returns those that are no longer blocked.
-func (t *Table) RecordAnswer(now, at time.Duration, keys []Key) (unblocked []Key) {
+// returns which of them are no longer blocked, and what is blocked in their place.
+func (t *Table) RecordAnswer(now, at time.Duration, keys []Key) Changes {
 	t.sweep(now)
+	unblocked := t.recordAnswer(now, at, keys)
+	if len(unblocked) == 0 {
+		return Changes{}
+	}
+	changes := t.explain(now)
+	changes.Unblocked = append(unblocked, changes.Unblocked...)
+	return changes
+}
+
+func (t *Table) recordAnswer(now, at time.Duration, keys []Key) (unblocked []Key) {
 	for _, key := range keys {
 		if _, known := t.answeredAt[key]; !known && len(t.answeredAt) >= maxAnswered && !t.isSuspected(key) {
 			continue
--- a/internal/quarantine/table_test.go
+++ b/internal/quarantine/table_test.go
@@ -15,8 +15,8 @@
 	first    topology.PromptPart = 0xf1
 )
 
-func anyTry(Key) bool { return true }
-func noTry(Key) bool  { return false }
+func anyTry(Key, int) bool { return true }
+func noTry(Key, int) bool  { return false }
 
 // events plays crashes and answers on a table.
 type events struct {
@@ -60,7 +60,7 @@
 }
 
 func (e *events) answer(parts ...topology.PromptPart) []Key {
-	return e.table.RecordAnswer(e.now, e.now, sharing(parts...).Keys())
+	return e.table.RecordAnswer(e.now, e.now, sharing(parts...).Keys()).Unblocked
 }
 
 func (e *events) pass(d time.Duration) {
@@ -319,7 +319,7 @@
 			if !v.Trial {
 				t.Fatalf("%+v, want a trial", v)
 			}
-			if _, blocked := e.table.IsBlocked(sharing(crashing), v); blocked {
+			if e.table.Recheck(sharing(crashing), v).Blocked {
 				t.Error("the request that tries the part is blocked")
 			}
 			if v := judge(crashing); !v.Blocked {
@@ -341,13 +341,65 @@
 	}
 }
 
+// Parts that were at the same crashes are tried soon, by requests with one of them, and by
+// other daemons if the first one gets no such request.
+func TestPartsThatCannotBeToldApartAreTriedSoon(t *testing.T) {
+	const sound topology.PromptPart = 0xa0
+	blocked := func() *events {
+		e := newEvents()
+		for n := range 3 {
+			e.crash(prompt(sound, crashing, topology.PromptPart(100+n)))
+			e.pass(200 * time.Millisecond)
+		}
+		return e
+	}
+	second := func(_ Key, others int) bool { return others >= 1 }
+	e := blocked()
+	if v := e.table.Judge(e.now, sharing(sound), noTry); !v.Blocked || !v.Unproven {
+		t.Fatalf("%+v, want a refusal for what is not proven", v)
+	}
+	e.pass(ambiguousPartInterval)
+	if v := e.table.Judge(e.now, sharing(sound, crashing), anyTry); !v.Blocked || v.Unproven {
+		t.Errorf("%+v for a request with both parts", v)
+	}
+	if v := e.table.Judge(e.now, sharing(sound), second); v.Trial {
+		t.Errorf("%+v at the second daemon at once", v)
+	}
+	e.pass(trialStagger)
+	if v := e.table.Judge(e.now, sharing(sound), second); !v.Trial {
+		t.Errorf("%+v at the second daemon a moment later", v)
+	}
+	e.answer(sound)
+	if e.isBlocked(sound) || !e.isBlocked(crashing) {
+		t.Errorf("after the answer %v is blocked", e.table.Blocks())
+	}
+	e.pass(time.Minute)
+	if v := e.table.Judge(e.now, sharing(sound, crashing), anyTry); !v.Blocked || v.Unproven {
+		t.Errorf("%+v for the part that the answer shows to be the cause", v)
+	}
+
+	e = blocked()
+	e.pass(ambiguousPartInterval)
+	if v := e.table.Judge(e.now, sharing(crashing), anyTry); !v.Trial {
+		t.Fatalf("%+v, want a trial", v)
+	}
+	e.crash(prompt(crashing, 999))
+	e.pass(time.Minute)
+	if v := e.table.Judge(e.now, sharing(crashing), anyTry); !v.Blocked || v.Unproven {
+		t.Errorf("%+v after the trial has ended an engine", v)
+	}
+	if e.isBlocked(sound) {
+		t.Error("the part that the trial shows to be sound is blocked")
+	}
+}
+
 // What other daemons say of a block yields to a later answer, and to none before it.
 func TestBlocksOfOtherDaemons(t *testing.T) {
 	e := newEvents()
 	if !e.table.Block(e.now, e.now-time.Second, PartKey(crashing)) || !e.isBlocked(crashing) {
 		t.Fatal("not blocked on the word of another daemon")
 	}
-	if unblocked := e.table.RecordAnswer(e.now, e.now-2*time.Second, sharing(crashing).Keys()); len(unblocked) > 0 {
+	if changes := e.table.RecordAnswer(e.now, e.now-2*time.Second, sharing(crashing).Keys()); len(changes.Unblocked) > 0 {
 		t.Error("unblocked by an answer from before the block")
 	}
 	if unblocked := e.answer(crashing); len(unblocked) != 1 {
@@ -411,7 +463,7 @@
 			}
 		}
 		for range 2 {
-			if _, blocked := l.e.table.IsBlocked(request, v); blocked {
+			if l.e.table.Recheck(request, v).Blocked {
 				break
 			}
 			i := l.random.IntN(engines)
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -425,7 +425,7 @@
 	if e.tokensAreOld() {
 		return errTokensOld
 	}
-	if _, blocked := e.relay.config.Quarantine.IsBlocked(e.subject, e.verdict); blocked {
+	if e.relay.config.Quarantine.Recheck(e.subject, e.verdict).Blocked {
 		return errWithheld
 	}
 	if _, ok := e.relay.config.Locator.Upstream(upstream.ID, granted); !ok {
--- a/internal/relay/last_check_test.go
+++ b/internal/relay/last_check_test.go
@@ -38,8 +38,8 @@
 	isBlocked atomic.Bool
 }
 
-func (b *blockable) IsBlocked(request quarantine.Request, _ quarantine.Verdict) (quarantine.Key, bool) {
-	return quarantine.RequestKey(request.Fingerprint), b.isBlocked.Load()
+func (b *blockable) Recheck(request quarantine.Request, _ quarantine.Verdict) quarantine.Verdict {
+	return quarantine.Verdict{Blocked: b.isBlocked.Load(), Key: quarantine.RequestKey(request.Fingerprint)}
 }
 
 // A request that waits for a connection is not sent to an upstream that has asked for a
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -76,9 +76,9 @@
 type Quarantine interface {
 	// Judge decides whether a new request may reach an engine.
 	Judge(request quarantine.Request) quarantine.Verdict
-	// IsBlocked returns what a request must reach no engine any more for, if there is
-	// anything.
-	IsBlocked(request quarantine.Request, verdict quarantine.Verdict) (quarantine.Key, bool)
+	// Recheck decides whether a request that may reach an engine by an earlier verdict
+	// still may.
+	Recheck(request quarantine.Request, earlier quarantine.Verdict) quarantine.Verdict
 	// EngineAnswered records that an engine has just answered a request whole.
 	EngineAnswered(id string, request quarantine.Request)
 	// EngineFailed records that an engine failed a request, and reports whether the
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -71,8 +71,8 @@
 	return quarantine.Verdict{}
 }
 
-func (noQuarantine) IsBlocked(quarantine.Request, quarantine.Verdict) (quarantine.Key, bool) {
-	return quarantine.Key{}, false
+func (noQuarantine) Recheck(quarantine.Request, quarantine.Verdict) quarantine.Verdict {
+	return quarantine.Verdict{}
 }
 
 func (noQuarantine) EngineAnswered(string, quarantine.Request) {}
--- a/internal/relay/withhold.go
+++ b/internal/relay/withhold.go
@@ -23,8 +23,10 @@
 	// sent to another one then.
 	maxEnginesEnded = 2
 	// Callers of requests that no engine gets come back after withheldReturn at the
-	// earliest, spread over as much time again: nothing will have changed before.
+	// earliest, spread over as much time again: nothing will have changed before. Where a
+	// trial will soon show whether the request is sound, it is unprovenReturn.
 	withheldReturn = 20 * time.Second
+	unprovenReturn = 2 * time.Second
 	// maxLoggedParts bounds the prompt parts in one line of the log.
 	maxLoggedParts = 8
 )
@@ -49,7 +51,7 @@
 		e.relay.log.Info("request tries again what engines have crashed on", "id", e.call.ID, "cause", e.verdict.Key.String())
 	}
 	if e.verdict.Blocked {
-		e.withhold(e.verdict.Key)
+		e.withhold(e.verdict)
 	}
 	return e.verdict.Blocked
 }
@@ -57,19 +59,23 @@
 // withholdIfBlocked ends the request before a send if engines have crashed on it meanwhile,
 // and reports whether it did.
 func (e *exchange) withholdIfBlocked() bool {
-	key, blocked := e.relay.config.Quarantine.IsBlocked(e.subject, e.verdict)
-	if blocked {
-		e.withhold(key)
+	verdict := e.relay.config.Quarantine.Recheck(e.subject, e.verdict)
+	if verdict.Blocked {
+		e.withhold(verdict)
 	}
-	return blocked
+	return verdict.Blocked
 }
 
-func (e *exchange) withhold(key quarantine.Key) {
+func (e *exchange) withhold(verdict quarantine.Verdict) {
 	e.relay.config.Metrics.RequestWithheld(e.service.Name)
-	e.relay.log.Info("request reaches no engine, as engines crash on it", "id", e.call.ID, "cause", key.String(), "begun", e.headSent, "sends", e.sends,
+	e.relay.log.Info("request reaches no engine, as engines crash on it", "id", e.call.ID, "cause", verdict.Key.String(), "unproven", verdict.Unproven, "begun", e.headSent, "sends", e.sends,
 		"fingerprint", e.subject.Fingerprint.String(), e.promptAttribute())
-	spread := time.Duration(float64(e.random()) / math.MaxUint64 * float64(withheldReturn))
-	e.giveUp(http.StatusBadGateway, withheldReturn+spread, errWithheld.Error()+": "+key.String())
+	earliest := withheldReturn
+	if verdict.Unproven {
+		earliest = unprovenReturn
+	}
+	spread := time.Duration(float64(e.random()) / math.MaxUint64 * float64(earliest))
+	e.giveUp(http.StatusBadGateway, earliest+spread, errWithheld.Error()+": "+verdict.Key.String())
 }
 
 // recordProgress lets a stream that has got past its beginning go on if its request is
