quarantine: a request that engines have answered again and again isn't blocked with a crashing part

All requests of that test have the same path, caller and body, so that the request itself was at all crashes; answers to requests were forgotten after a second, and crashes within 100 ms count singly for a request but once for a part, so the request had three crashes before the part had.

What engines have answered more than once is remembered for two minutes, is blocked after four crashes in place of three or two, and not if a part without an answer explains them.

--- a/internal/quarantine/evidence.go
+++ b/internal/quarantine/evidence.go
@@ -14,8 +14,8 @@
 	// blockingSources is the number of sessions whose requests were at those engines.
 	// One request that is sent to several engines puts all of its parts there.
 	blockingSources = 2
-	// blockingCrashesOfOne replaces both for a session that crashes engines alone, and for a
-	// part that engines have answered before.
+	// blockingCrashesOfOne replaces both for a session that crashes engines alone, and for
+	// what engines have answered before.
 	blockingCrashesOfOne = 4
 	// blockingCrashesOfRequest is the number of crashes under a request that is then
 	// blocked, and blockingCrashesAlone that if no other request was at all of them: sound
@@ -74,7 +74,8 @@
 
 func (e *evidence) isEnough() bool {
 	if e.key.Kind == WholeRequest {
-		return e.repetitions() >= blockingCrashesOfRequest
+		repetitions := e.repetitions()
+		return repetitions >= blockingCrashesOfOne || repetitions >= blockingCrashesOfRequest && !e.wasAnswered
 	}
 	instants := e.instants()
 	return instants >= blockingCrashesOfOne || instants >= blockingCrashes && len(e.sources) >= blockingSources && !e.wasAnswered
@@ -144,8 +145,8 @@
 // explain finds the keys that explain the crashes: the one with the most crashes first, and
 // then those that explain the others. It blocks them if there is enough evidence. Where others
 // explain all crashes of a blocked key, it lifts the block of a part, which would refuse
-// sound requests; a request may be a cause as well, and is tried soon. Of a part that engines
-// have answered before, it suffices that not enough crashes are left.
+// sound requests; a request may be a cause as well, and is tried soon. Of what engines have
+// answered before, it suffices that not enough crashes are left.
 func (t *Table) explain(now time.Duration) (changes Changes) {
 	explained := make(map[*record]bool)
 	found := make(map[Key]bool)
@@ -170,13 +171,13 @@
 	}
 	for key, e := range t.evidence(nil) {
 		isExplained := !slices.ContainsFunc(e.crashes, func(r *record) bool { return !explained[r] })
-		if e.isAnsweredPart() {
+		if e.wasAnswered {
 			isExplained = slices.ContainsFunc(e.crashes, func(r *record) bool { return explained[r] })
 		}
 		b := t.blocks[key]
 		switch {
 		case b == nil || found[key] || !isExplained:
-		case key.Kind == WholeRequest:
+		case key.Kind == WholeRequest && !e.wasAnswered:
 			b.isAmbiguous = true
 		default:
 			delete(t.blocks, key)
@@ -204,7 +205,7 @@
 	all := t.evidence(explained)
 	for _, e := range all {
 		switch {
-		case t.blocks[e.key] != nil && !e.isAnsweredPart() || e.isEnough():
+		case t.blocks[e.key] != nil && !e.wasAnswered || e.isEnough():
 			candidates = append(candidates, e)
 		case !e.isEnoughAlone() || !isAlone(e, all):
 		case now-e.last().at >= SettleTime:
@@ -226,26 +227,22 @@
 	return t.narrowest(found), unsettled
 }
 
-// preferUnanswered returns the first candidate, unless engines have answered its key before
-// and another one of its kind was never answered: what sound requests share with crashing
-// ones was at all of their crashes, and at others by chance.
+// preferUnanswered returns the first candidate, unless engines have answered its key before,
+// and another one of its kind or a prompt part was never answered: what sound requests share
+// with crashing ones was at all of their crashes, and at others by chance.
 func preferUnanswered(candidates []*evidence) *evidence {
 	first := candidates[0]
 	if !first.wasAnswered {
 		return first
 	}
 	for _, e := range candidates {
-		if e.key.Kind == first.key.Kind && !e.wasAnswered {
+		if (e.key.Kind == first.key.Kind || e.key.Kind == PromptPart) && !e.wasAnswered {
 			return e
 		}
 	}
 	return first
 }
 
-func (e *evidence) isAnsweredPart() bool {
-	return e.key.Kind == PromptPart && e.wasAnswered
-}
-
 // isExplainedByOther reports whether engines have answered a key before, and blocked keys that
 // they never answered were at all crashes that speak against it.
 func (t *Table) isExplainedByOther(key Key) bool {
@@ -288,7 +285,7 @@
 // isEnoughAlone reports whether the evidence against a request suffices if no other one was
 // at the same engines.
 func (e *evidence) isEnoughAlone() bool {
-	return e.key.Kind == WholeRequest && e.repetitions() >= blockingCrashesAlone
+	return e.key.Kind == WholeRequest && !e.wasAnswered && e.repetitions() >= blockingCrashesAlone
 }
 
 func (e *evidence) last() *record {
--- a/internal/quarantine/request_test.go
+++ b/internal/quarantine/request_test.go
@@ -6,6 +6,8 @@
 	"slices"
 	"testing"
 	"time"
+
+	"github.com/barleylift/barleylift/internal/topology"
 )
 
 // Fingerprints of requests: one under which engines crash, a sound one that many callers
@@ -189,6 +191,41 @@
 				e.pass(time.Second)
 			}
 		}, []Fingerprint{bad, beside}},
+		{"a request that engines have answered again and again, with a crashing part", func(e *events) {
+			for range 20 {
+				e.answerRequest(hot)
+				e.pass(200 * time.Millisecond)
+			}
+			e.pass(10 * time.Second)
+			for n := range 4 {
+				e.engine++
+				request := Request{Fingerprint: hot, Prompt: prompt(crashing, topology.PromptPart(100+n))}
+				e.recordCrash(Process{ID: fmt.Sprint("lm-", e.engine), Incarnation: 1}, Failure{Request: request, SentAt: e.now - time.Millisecond, At: e.now})
+				e.settle()
+				e.pass(120 * time.Millisecond)
+			}
+		}, nil},
+		{"a request that engines have answered again and again, at crashes that follow at once", func(e *events) {
+			for range 20 {
+				e.answerRequest(hot)
+				e.pass(200 * time.Millisecond)
+			}
+			e.pass(10 * time.Second)
+			for range 3 {
+				e.end(time.Millisecond, hot)
+			}
+		}, nil},
+		{"a request that engines have answered again and again, at four crashes", func(e *events) {
+			for range 20 {
+				e.answerRequest(hot)
+				e.pass(200 * time.Millisecond)
+			}
+			e.pass(10 * time.Second)
+			for range 4 {
+				e.end(held, hot)
+				e.pass(time.Second)
+			}
+		}, []Fingerprint{hot}},
 		{"the last of many crashes", func(e *events) {
 			for n := range 2 * maxCrashes {
 				e.end(held, Fingerprint(1000+n))
--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -12,9 +12,10 @@
 	// recentAnswer is how long before a crash an answer clears what it was given to:
 	// parts that many requests share are at every engine that ends.
 	recentAnswer = time.Second
-	// partAnswerTTL is how long an answer tells a prompt part from others that were at the
-	// same crashes: a few minutes of requests have most parts that sound ones share.
-	partAnswerTTL = 2 * time.Minute
+	// sharedAnswerTTL is how long an answer tells a prompt part, or a request that comes again
+	// and again, from others that were at the same crashes: a few minutes of requests have
+	// most of what sound ones share.
+	sharedAnswerTTL = 2 * time.Minute
 	// sameCrash is the time within which reports are about one crash if the process has
 	// no incarnation: one that starts again may have its identifier.
 	sameCrash = 2 * time.Second
@@ -102,7 +103,9 @@
 	// answeredAt is when an engine last answered a request with a key: it began and went
 	// on.
 	answeredAt map[Key]time.Duration
-	blocks     map[Key]*block
+	// answeredAgain holds the keys of answeredAt that were answered more than once.
+	answeredAgain map[Key]bool
+	blocks        map[Key]*block
 	// unblockedAt holds the answers that ended blocks, which other daemons may not know.
 	unblockedAt map[Key]time.Duration
 	sweptAt     time.Duration
@@ -111,9 +114,10 @@
 // NewTable returns a table without crashes.
 func NewTable() *Table {
 	return &Table{
-		answeredAt:  make(map[Key]time.Duration),
-		blocks:      make(map[Key]*block),
-		unblockedAt: make(map[Key]time.Duration),
+		answeredAt:    make(map[Key]time.Duration),
+		answeredAgain: make(map[Key]bool),
+		blocks:        make(map[Key]*block),
+		unblockedAt:   make(map[Key]time.Duration),
 	}
 }
 
@@ -207,9 +211,13 @@
 
 func (t *Table) recordAnswer(now, at time.Duration, keys []Key) (unblocked []Key) {
 	for _, key := range keys {
-		if _, known := t.answeredAt[key]; !known && len(t.answeredAt) >= maxAnswered && !t.isSuspected(key) {
+		former, known := t.answeredAt[key]
+		if !known && len(t.answeredAt) >= maxAnswered && !t.isSuspected(key) {
 			continue
 		}
+		if known && at-former > instant {
+			t.answeredAgain[key] = true
+		}
 		t.answeredAt[key] = max(t.answeredAt[key], at)
 		b := t.blocks[key]
 		switch {
@@ -242,10 +250,11 @@
 	return ok && answeredAt >= crashAt-recentAnswer
 }
 
-// wasAnswered reports whether engines are known to have answered a key at all.
+// wasAnswered reports whether engines are known to have answered a key before, and a request
+// more than once: one that is answered once may end the next engine.
 func (t *Table) wasAnswered(key Key) bool {
 	_, ok := t.answeredAt[key]
-	return ok
+	return ok && (key.Kind == PromptPart || t.answeredAgain[key])
 }
 
 // AnsweredParts returns what is known of earlier answers on a suspect's parts.
@@ -293,11 +302,12 @@
 	}
 	for key, at := range t.answeredAt {
 		ttl := recentAnswer
-		if key.Kind == PromptPart {
-			ttl = partAnswerTTL
+		if key.Kind == PromptPart || t.answeredAgain[key] {
+			ttl = sharedAnswerTTL
 		}
 		if now-at > ttl && !suspected[key] {
 			delete(t.answeredAt, key)
+			delete(t.answeredAgain, key)
 		}
 	}
 	for key, b := range t.blocks {
