--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -12,12 +12,13 @@
 )
 
 // All daemons know within a round trip which prompt parts and which requests engines have
-// crashed on. The daemon whose request an engine had begun to answer reports it to all
-// others; heartbeats repeat what is blocked. A key of the key-value service keeps a block
-// when all daemons end. The first member in a key's rendezvous order, its steward, writes
-// and deletes the service's key, and lets the one request through that tries it again.
+// crashed on. Each daemon with a request at an engine that ends reports it to all others;
+// heartbeats repeat what is blocked. A key of the key-value service keeps a block when all
+// daemons end. The first member in a key's rendezvous order, its steward, writes and deletes
+// the service's key, and lets the one request through that tries it again. The members that
+// follow may do so too where it is not known which of several keys is the cause.
 
-// maxLoggedKeys bounds the keys in one line of the log.
+// maxLoggedKeys bounds the keys in a line of the log.
 const maxLoggedKeys = 8
 
 // quarantined is what this daemon knows of crashes and of what is blocked. It is safe for
--- a/internal/hop/round_trip.go
+++ b/internal/hop/round_trip.go
@@ -1,7 +1,6 @@
 package hop
 
 import (
-	"io"
 	"net/http"
 	"net/http/httptrace"
 	"sync"
@@ -18,8 +17,8 @@
 }
 
 // RoundTrip sends a request over a transport of net/http. A response whose head is invalid is
-// an error; see checkHead. A body without a length that ends
-// while the request is being written is not taken for whole; see trackedBody.
+// an error; see checkHead. A body without a length that ends while the request is being
+// written is not taken for whole; see trackedBody.
 func RoundTrip(transport http.RoundTripper, request *http.Request) (*http.Response, error) {
 	written := &requestWrite{done: make(chan struct{})}
 	var once sync.Once
@@ -53,5 +52,3 @@
 func (b *closingBody) Close() error {
 	return b.source.Close()
 }
-
-var _ io.ReadCloser = (*closingBody)(nil)
--- a/internal/quarantine/evidence.go
+++ b/internal/quarantine/evidence.go
@@ -14,9 +14,10 @@
 	// blockingSources is the number of sessions whose requests were at those engines.
 	// One request that is sent to several engines puts all of its parts there.
 	blockingSources = 2
-	// blockingCrashesOfOne replaces both for a session that crashes engines alone, and for
-	// what engines have answered before.
+	// blockingCrashesOfOne replaces both for a session that crashes engines alone.
 	blockingCrashesOfOne = 4
+	// blockingCrashesAnswered is the number for what engines have answered before.
+	blockingCrashesAnswered = 4
 	// blockingCrashesOfRequest is the number of crashes under a request that is then
 	// blocked, and blockingCrashesAlone that if no other request was at all of them: sound
 	// ones are sent on with the one that ends their engine, and may be at the next with it.
@@ -73,12 +74,19 @@
 }
 
 func (e *evidence) isEnough() bool {
-	if e.key.Kind == WholeRequest {
-		repetitions := e.repetitions()
-		return repetitions >= blockingCrashesOfOne || repetitions >= blockingCrashesOfRequest && !e.wasAnswered
+	isRequest := e.key.Kind == WholeRequest
+	switch {
+	case isRequest && e.wasAnswered:
+		return e.repetitions() >= blockingCrashesAnswered
+	case isRequest:
+		return e.repetitions() >= blockingCrashesOfRequest
+	case e.wasAnswered:
+		return e.instants() >= blockingCrashesAnswered
+	case len(e.sources) < blockingSources:
+		return e.instants() >= blockingCrashesOfOne
+	default:
+		return e.instants() >= blockingCrashes
 	}
-	instants := e.instants()
-	return instants >= blockingCrashesOfOne || instants >= blockingCrashes && len(e.sources) >= blockingSources && !e.wasAnswered
 }
 
 // instants counts the crashes, those at one instant once.
@@ -170,13 +178,9 @@
 		}
 	}
 	for key, e := range t.evidence(nil) {
-		isExplained := !slices.ContainsFunc(e.crashes, func(r *record) bool { return !explained[r] })
-		if e.wasAnswered {
-			isExplained = slices.ContainsFunc(e.crashes, func(r *record) bool { return explained[r] })
-		}
 		b := t.blocks[key]
 		switch {
-		case b == nil || found[key] || !isExplained:
+		case b == nil || found[key] || !e.isExplained(explained):
 		case key.Kind == WholeRequest && !e.wasAnswered:
 			b.isAmbiguous = true
 		default:
@@ -188,6 +192,15 @@
 	return changes
 }
 
+// isExplained reports whether others explain all crashes of the key, or some if engines have
+// answered it before.
+func (e *evidence) isExplained(explained map[*record]bool) bool {
+	if e.wasAnswered {
+		return slices.ContainsFunc(e.crashes, func(r *record) bool { return explained[r] })
+	}
+	return !slices.ContainsFunc(e.crashes, func(r *record) bool { return !explained[r] })
+}
+
 func (t *Table) markExplained(key Key, explained map[*record]bool) {
 	for _, r := range t.crashes {
 		if _, suspected := r.suspects[key]; suspected {
@@ -198,8 +211,8 @@
 
 // strongest returns the keys that come next: the one with the most crashes that are not
 // explained, among those that are blocked or have enough evidence, and those that were at
-// the same engines, which nothing tells from it, not even earlier answers. unsettled is set if another one may have
-// enough once all reports have arrived.
+// the same engines, which nothing tells from it, not even earlier answers. unsettled is set
+// if another one may have enough once all reports have arrived.
 func (t *Table) strongest(now time.Duration, explained map[*record]bool) (found []*evidence, unsettled bool) {
 	var candidates []*evidence
 	all := t.evidence(explained)
--- a/internal/relay/withhold.go
+++ b/internal/relay/withhold.go
@@ -112,12 +112,13 @@
 			e.enginesEnded.Add(1)
 		}
 	}
-	isFirstOfStream := e.pastBeginning && e.enginesEnded.Load() == 0
-	if begun && !isFirstOfStream || mayHaveBegun && (e.verdict.Trial || e.possibleRuns > 1) {
+	// A stream that had got past its beginning goes on at another engine at once, the first
+	// time, and so does a request that had not begun.
+	goesOn := !begun || e.pastBeginning && e.enginesEnded.Load() == 0
+	if !goesOn || mayHaveBegun && (e.verdict.Trial || e.possibleRuns > 1) {
 		record(e.ctx)
 		return
 	}
-	// The request goes on at another engine at once.
 	go record(context.WithoutCancel(e.ctx))
 }
 
