--- a/internal/quarantine/request_test.go
+++ b/internal/quarantine/request_test.go
@@ -45,6 +45,15 @@
 	e.table.RecordAnswer(e.now, e.now, []Key{RequestKey(f)})
 }
 
+// answerAgain answers a request again and again, and lets some time pass.
+func (e *events) answerAgain(f Fingerprint) {
+	for range 20 {
+		e.answerRequest(f)
+		e.pass(200 * time.Millisecond)
+	}
+	e.pass(10 * time.Second)
+}
+
 func (e *events) blockedRequests() (blocked []Fingerprint) {
 	for _, b := range e.table.Blocks() {
 		if b.Key.Kind == WholeRequest {
@@ -192,11 +201,7 @@
 			}
 		}, []Fingerprint{bad, beside}},
 		{"a request that engines have answered again and again, with a crashing part", func(e *events) {
-			for range 20 {
-				e.answerRequest(hot)
-				e.pass(200 * time.Millisecond)
-			}
-			e.pass(10 * time.Second)
+			e.answerAgain(hot)
 			for n := range 4 {
 				e.engine++
 				request := Request{Fingerprint: hot, Prompt: prompt(crashing, topology.PromptPart(100+n))}
@@ -206,21 +211,13 @@
 			}
 		}, nil},
 		{"a request that engines have answered again and again, at crashes that follow at once", func(e *events) {
-			for range 20 {
-				e.answerRequest(hot)
-				e.pass(200 * time.Millisecond)
-			}
-			e.pass(10 * time.Second)
+			e.answerAgain(hot)
 			for range 3 {
 				e.end(time.Millisecond, hot)
 			}
 		}, nil},
 		{"a request that engines have answered again and again, at four crashes", func(e *events) {
-			for range 20 {
-				e.answerRequest(hot)
-				e.pass(200 * time.Millisecond)
-			}
-			e.pass(10 * time.Second)
+			e.answerAgain(hot)
 			for range 4 {
 				e.end(held, hot)
 				e.pass(time.Second)
--- a/internal/upstream/engine_test.go
+++ b/internal/upstream/engine_test.go
@@ -239,27 +239,13 @@
 // A head without end was read up to ten megabytes for each call.
 func TestEndlessHeadsTakeLittleMemory(t *testing.T) {
 	const calls, daemonMemory = 40, 256 << 20
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer listener.Close()
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer conn.Close()
-				_, err := io.WriteString(conn, "HTTP/1.1 200 OK\r\nX: ")
-				for endless := strings.Repeat("x", 64<<10); err == nil; {
-					_, err = io.WriteString(conn, endless)
-				}
-			}()
+	url := serveRaw(t, func(conn *net.TCPConn) {
+		_, err := io.WriteString(conn, "HTTP/1.1 200 OK\r\nX: ")
+		for endless := strings.Repeat("x", 64<<10); err == nil; {
+			_, err = io.WriteString(conn, endless)
 		}
-	}()
-	client, err := NewEngineClient(EngineClientConfig{Engine: catalog.Engine{Address: "http://" + listener.Addr().String(), MaxRunning: calls}})
+	})
+	client, err := NewEngineClient(EngineClientConfig{Engine: catalog.Engine{Address: url, MaxRunning: calls}})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/upstream/service_reset_test.go
+++ b/internal/upstream/service_reset_test.go
@@ -12,9 +12,8 @@
 	"github.com/barleylift/barleylift/internal/catalog"
 )
 
-// startRawReplica starts a replica that answers each request by a function, before it has read
-// the body, and then closes the connection.
-func startRawReplica(t *testing.T, answer func(conn *net.TCPConn)) catalog.Replica {
+// serveRaw serves each connection to an address of its own by a function, and then closes it.
+func serveRaw(t *testing.T, serve func(conn *net.TCPConn)) (url string) {
 	t.Helper()
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
@@ -29,13 +28,11 @@
 			}
 			go func() {
 				defer conn.Close()
-				if _, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
-					answer(conn.(*net.TCPConn))
-				}
+				serve(conn.(*net.TCPConn))
 			}()
 		}
 	}()
-	return catalog.Replica{Address: "http://" + listener.Addr().String(), Zone: "kakkanad"}
+	return "http://" + listener.Addr().String()
 }
 
 // zeros is a body without end.
@@ -50,12 +47,15 @@
 // while the request is being written.
 func TestResetWhileTheCallIsWrittenEndsNoAnswerWithoutLength(t *testing.T) {
 	const rounds, size = 40, 8 << 20
-	replica := startRawReplica(t, func(conn *net.TCPConn) {
+	url := serveRaw(t, func(conn *net.TCPConn) {
+		if _, err := http.ReadRequest(bufio.NewReader(conn)); err != nil {
+			return
+		}
 		io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\na part of the bo")
 		time.Sleep(2 * time.Millisecond)
 		conn.SetLinger(0)
 	})
-	services := newTestServices(t, testTimeout, replica)
+	services := newTestServices(t, testTimeout, catalog.Replica{Address: url, Zone: "kakkanad"})
 	for range rounds {
 		response, err := services.Attempt(context.Background(), ServiceRequest{
 			Service: "logbook", Method: http.MethodPost, Target: "/ticks", Body: io.LimitReader(zeros{}, size), ContentLength: size,
