quarantine: crashes are explained anew only if a new suspect may explain them

Now only if something is blocked, or a key of the report has been at enough crashes, which is looked up for its few keys alone. The outcome is the same: no other key's evidence has grown.

--- a/internal/quarantine/evidence.go
+++ b/internal/quarantine/evidence.go
@@ -119,8 +119,30 @@
 // isRefuted reports whether answers clear a key of so many of its crashes that the others
 // are not enough to block it.
 func (t *Table) isRefuted(key Key) bool {
-	cleared := false
-	e := t.newEvidence(key)
+	e, cleared := t.evidenceOf(key)
+	return cleared && !e.isEnough()
+}
+
+// mayExplain reports whether one of the keys of new suspects may explain the crashes, or what
+// is blocked may change.
+func (t *Table) mayExplain(suspects []Suspect) bool {
+	if len(t.blocks) > 0 {
+		return true
+	}
+	for _, suspect := range suspects {
+		for _, key := range suspect.keys() {
+			if e, _ := t.evidenceOf(key); e.isEnough() || e.isEnoughAlone() {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// evidenceOf returns what speaks against one key. cleared is set if answers clear it of some
+// crashes.
+func (t *Table) evidenceOf(key Key) (e *evidence, cleared bool) {
+	e = t.newEvidence(key)
 	for _, r := range t.crashes {
 		from, suspected := r.suspects[key]
 		switch {
@@ -131,7 +153,7 @@
 			e.add(r, from)
 		}
 	}
-	return cleared && !e.isEnough()
+	return e, cleared
 }
 
 // Changes are the keys that are blocked, and those that are no longer, after a crash.
--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -51,6 +51,11 @@
 	Begun bool
 }
 
+// keys returns what may have ended the process.
+func (s Suspect) keys() []Key {
+	return Request{Fingerprint: s.Request, Prompt: append(slices.Clone(s.Parts), s.Source)}.Keys()
+}
+
 // Crash is the end of an engine's process. Times are readings of the table's clock.
 type Crash struct {
 	Process Process
@@ -136,8 +141,8 @@
 		}
 		t.recordCrashOfBlocked(now, crash.At, suspect)
 	}
-	if !isNew {
-		return Changes{} // reports are repeated
+	if !isNew || !t.mayExplain(crash.Suspects) {
+		return Changes{} // reports are repeated, and most crashes have no cause among requests
 	}
 	return t.explain(now)
 }
