gateway: heartbeats of a round share one list of what crashes are about

Cause: each heartbeat to each VM gathered and sorted the suspects of all crashes anew, every 300 ms for ten minutes. The list is made once a round now.

--- a/internal/gateway/notices.go
+++ b/internal/gateway/notices.go
@@ -105,8 +105,9 @@
 		g.addStoreDisconnected(sharing, names)
 	}
 	mayOrder := g.keeper.MayOrderAny()
+	crashes := g.quarantineNotice()
 	for _, name := range selector.next(clock.Boot(), names, sharing, storeDown) {
-		g.sendHeartbeat(addresses[name], name, mesh.Heartbeat{
+		g.sendHeartbeat(addresses[name], name, crashes, mesh.Heartbeat{
 			StoreDown: storeDown,
 			MayOrder:  mayOrder,
 			Uses:      uses[name],
@@ -116,7 +117,7 @@
 }
 
 // sendHeartbeat completes a heartbeat and sends it.
-func (g *Gateway) sendHeartbeat(address, member string, heartbeat mesh.Heartbeat) {
+func (g *Gateway) sendHeartbeat(address, member string, crashes quarantineNotice, heartbeat mesh.Heartbeat) {
 	heartbeat.Draining = g.draining.Load()
 	heartbeat.SentAt = int64(clock.Boot())
 	if heartbeat.CutOff = g.CutOff(); heartbeat.CutOff {
@@ -125,7 +126,7 @@
 	}
 	heartbeat.NotFresh = !g.isListed()
 	heartbeat.Leaving = g.recentStatements()
-	g.spreadQuarantine(&heartbeat)
+	crashes.addTo(&heartbeat)
 	g.confirmOwnership(member, &heartbeat)
 	g.mesh.Send(address, mesh.Packet{Heartbeat: &heartbeat})
 	g.router.Send(member, g.fragilityEntries()...)
@@ -134,8 +135,9 @@
 // sendHeartbeatsToAll notifies all other daemons at once that this one is draining, is cut
 // off from all upstreams, or is back.
 func (g *Gateway) sendHeartbeatsToAll() {
+	crashes := g.quarantineNotice()
 	for name, address := range g.otherAddresses() {
-		g.sendHeartbeat(address, name, mesh.Heartbeat{StoreDown: g.storeDisconnected()})
+		g.sendHeartbeat(address, name, crashes, mesh.Heartbeat{StoreDown: g.storeDisconnected()})
 	}
 }
 
--- a/internal/gateway/quarantine_spread.go
+++ b/internal/gateway/quarantine_spread.go
@@ -33,20 +33,34 @@
 	}
 }
 
-// spreadQuarantine adds to a heartbeat what is blocked, and what engines answer of it.
-func (g *Gateway) spreadQuarantine(heartbeat *mesh.Heartbeat) {
+// quarantineNotice is what heartbeats say about causes of crashes.
+type quarantineNotice struct {
+	blockedParts, answeredParts       []mesh.PartAge
+	blockedRequests, answeredRequests []mesh.RequestAge
+}
+
+// quarantineNotice returns what is blocked, and what engines answer of it.
+func (g *Gateway) quarantineNotice() quarantineNotice {
 	now := clock.Boot()
 	q := g.quarantined
 	q.mu.Lock()
 	blocks := q.table.Blocks()
 	answered := q.table.AnsweredSuspects(now - answeredSpreadPeriod)
 	q.mu.Unlock()
+	var n quarantineNotice
 	for _, b := range blocks {
-		addAge(&heartbeat.BlockedParts, &heartbeat.BlockedRequests, b.Key, now-b.Since)
+		addAge(&n.blockedParts, &n.blockedRequests, b.Key, now-b.Since)
 	}
 	for _, a := range answered {
-		addAge(&heartbeat.AnsweredParts, &heartbeat.AnsweredRequests, a.Key, now-a.At)
+		addAge(&n.answeredParts, &n.answeredRequests, a.Key, now-a.At)
 	}
+	return n
+}
+
+// addTo adds the notice to a heartbeat.
+func (n quarantineNotice) addTo(heartbeat *mesh.Heartbeat) {
+	heartbeat.BlockedParts, heartbeat.BlockedRequests = n.blockedParts, n.blockedRequests
+	heartbeat.AnsweredParts, heartbeat.AnsweredRequests = n.answeredParts, n.answeredRequests
 }
 
 // addAge adds a key and its age to the list of its kind, unless that is full.
