quarantine: engines that end together aren't ended by what few of them had

Cause: twelve engines ended at 3.3 s and twelve at 6.3 s.

Now where six engines or more end within an instant, a request or part counts only if it was at three quarters of them. Below six, distinct requests that crash engines may well meet by chance.

--- a/internal/quarantine/evidence.go
+++ b/internal/quarantine/evidence.go
@@ -28,6 +28,9 @@
 	instant = 100 * time.Millisecond
 	// reportJitter is how far daemons' times of one crash may differ.
 	reportJitter = 2 * time.Millisecond
+	// minCommonEnds is the number of engines that end within an instant for a common cause,
+	// such as a rack's power. A key counts there only if it was at three quarters of them.
+	minCommonEnds = 6
 	// SettleTime is how long after a crash the reports of all daemons have arrived, as a
 	// rule. Before, a request may only seem to be alone at the engines.
 	SettleTime = 30 * time.Millisecond
@@ -45,12 +48,13 @@
 // evidence returns what speaks against each key, with the crashes in order of time.
 func (t *Table) evidence(explained map[*record]bool) map[Key]*evidence {
 	all := make(map[Key]*evidence)
-	for _, r := range t.crashes {
+	for i, r := range t.crashes {
 		if explained[r] {
 			continue
 		}
+		together := t.endedWith(i)
 		for key, from := range r.suspects {
-			if t.isCleared(key, r.at) {
+			if t.isCleared(key, r.at) || isCommonEnd(key, together) {
 				continue
 			}
 			if all[key] == nil {
@@ -62,6 +66,34 @@
 	return all
 }
 
+// endedWith returns the crashes within an instant of the i-th, with itself.
+func (t *Table) endedWith(i int) []*record {
+	at := t.crashes[i].at
+	first, end := i, i+1
+	for first > 0 && at-t.crashes[first-1].at <= instant {
+		first--
+	}
+	for end < len(t.crashes) && t.crashes[end].at-at <= instant {
+		end++
+	}
+	return t.crashes[first:end]
+}
+
+// isCommonEnd reports whether engines that ended together have ended for another cause than a
+// key, which too few of them had.
+func isCommonEnd(key Key, together []*record) bool {
+	if len(together) < minCommonEnds {
+		return false
+	}
+	count := 0
+	for _, r := range together {
+		if _, suspected := r.suspects[key]; suspected {
+			count++
+		}
+	}
+	return 4*count < 3*len(together)
+}
+
 func (t *Table) newEvidence(key Key) *evidence {
 	return &evidence{key: key, sources: make(sources), wasAnswered: t.wasAnswered(key)}
 }
@@ -143,10 +175,10 @@
 // crashes.
 func (t *Table) evidenceOf(key Key) (e *evidence, cleared bool) {
 	e = t.newEvidence(key)
-	for _, r := range t.crashes {
+	for i, r := range t.crashes {
 		from, suspected := r.suspects[key]
 		switch {
-		case !suspected:
+		case !suspected || isCommonEnd(key, t.endedWith(i)):
 		case t.isCleared(key, r.at):
 			cleared = true
 		default:
