quarantine, gateway: parts that one more crash would block are kept in the store

Cause: only blocks were in the store. New processes began to count at none, and needed three instants of crashes again.

Now the steward of a part that one more crash would block writes the times of its crashes below barleylift/suspected-parts/, and deletes them when it is blocked, answered or ten minutes old. A process that starts counts them. One that knows of crashes under the part doesn't, so that clocks that differ make none count twice. Whole requests aren't kept: they are blocked after two or three crashes, and the users allow three more requests.

--- a/internal/gateway/apply.go
+++ b/internal/gateway/apply.go
@@ -31,6 +31,7 @@
 	var forwarded []forwardedChange
 	for _, change := range changes {
 		g.applyQuarantineKey(change)
+		g.applySuspectKey(change)
 		g.applySoftwareKey(change)
 		update, err := g.platform.Decode(change)
 		if u := g.urgencyOf(change, update, err); u > routine {
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -29,10 +29,12 @@
 	probes map[quarantine.Process]*probe
 	// stored holds the modification revisions of the service's keys of what is blocked.
 	stored map[quarantine.Key]int64
+	// storedSuspects holds those of the keys of suspected parts.
+	storedSuspects map[quarantine.Key]int64
 }
 
 func newQuarantined() *quarantined {
-	return &quarantined{table: quarantine.NewTable(), probes: make(map[quarantine.Process]*probe), stored: make(map[quarantine.Key]int64)}
+	return &quarantined{table: quarantine.NewTable(), probes: make(map[quarantine.Process]*probe), stored: make(map[quarantine.Key]int64), storedSuspects: make(map[quarantine.Key]int64)}
 }
 
 // Judge implements relay.Quarantine.
--- a/internal/gateway/quarantine_keys.go
+++ b/internal/gateway/quarantine_keys.go
@@ -38,10 +38,15 @@
 		}
 		key.Kind = quarantine.WholeRequest
 	}
-	key.ID, err = strconv.ParseUint(id, 16, 64)
+	key, err = parseKeyID(key.Kind, id)
 	return key, true, err
 }
 
+func parseKeyID(kind quarantine.Kind, text string) (quarantine.Key, error) {
+	id, err := strconv.ParseUint(text, 16, 64)
+	return quarantine.Key{Kind: kind, ID: id}, err
+}
+
 // applyQuarantineKey applies a change of the service's key of what is blocked. A deletion
 // ends no block: the service may have come back from an older copy.
 func (g *Gateway) applyQuarantineKey(change mirror.Change) {
@@ -68,8 +73,8 @@
 	}
 }
 
-// storeQuarantine writes the service's keys of the blocks of which this daemon is the
-// steward, and deletes those of others.
+// storeQuarantine writes the service's keys of the blocks and suspected parts of which this
+// daemon is the steward, and deletes those of others.
 func (g *Gateway) storeQuarantine(ctx context.Context) {
 	if g.storeDisconnected() || !g.firstReadApplied.Load() {
 		return
@@ -99,5 +104,5 @@
 			txns = append(txns, infra.Txn{If: []infra.Compare{infra.ModifiedAt(name, revision)}, Then: []infra.Op{infra.Delete(name)}})
 		}
 	}
-	return txns
+	return append(txns, g.suspectWrites(q)...)
 }
--- a/internal/quarantine/evidence.go
+++ b/internal/quarantine/evidence.go
@@ -123,15 +123,17 @@
 
 // instants counts the crashes, those at one instant once.
 func (e *evidence) instants() int {
-	count := 0
-	var began time.Duration
+	return len(e.instantTimes())
+}
+
+// instantTimes returns the time of the first crash of each instant.
+func (e *evidence) instantTimes() (times []time.Duration) {
 	for i, r := range e.crashes {
-		if i == 0 || r.at-began > instant {
-			count++
-			began = r.at
+		if i == 0 || r.at-times[len(times)-1] > instant {
+			times = append(times, r.at)
 		}
 	}
-	return count
+	return times
 }
 
 // repetitions counts the crashes of a request, those at one instant once, unless the
--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -152,20 +152,28 @@
 func (t *Table) recordOf(crash Crash) *record {
 	r := t.findRecord(crash)
 	if r == nil {
-		if len(t.crashes) >= maxCrashes {
-			t.crashes = t.crashes[1:]
-		}
-		r = &record{
-			process: crash.Process, at: crash.At,
-			suspects: make(map[Key]sources), sentAt: make(map[Key]time.Duration),
-		}
-		t.crashes = append(t.crashes, r)
+		return t.addRecord(crash)
 	}
 	r.at = min(r.at, crash.At)
-	slices.SortStableFunc(t.crashes, func(a, b *record) int { return cmp.Compare(a.at, b.at) })
+	t.sortCrashes()
+	return r
+}
+
+// addRecord adds a record of a crash without suspects.
+func (t *Table) addRecord(crash Crash) *record {
+	if len(t.crashes) >= maxCrashes {
+		t.crashes = t.crashes[1:]
+	}
+	r := &record{process: crash.Process, at: crash.At, suspects: make(map[Key]sources), sentAt: make(map[Key]time.Duration)}
+	t.crashes = append(t.crashes, r)
+	t.sortCrashes()
 	return r
 }
 
+func (t *Table) sortCrashes() {
+	slices.SortStableFunc(t.crashes, func(a, b *record) int { return cmp.Compare(a.at, b.at) })
+}
+
 // findRecord returns the record of a crash that is known. If its request was sent after
 // the recorded crash, a later process has ended, whose registration was not known yet.
 func (t *Table) findRecord(crash Crash) *record {
