--- a/internal/gateway/quarantine_keys.go
+++ b/internal/gateway/quarantine_keys.go
@@ -17,6 +17,9 @@
 	// prompt parts and requests.
 	quarantinePrefix        = keyPrefix + "quarantine/"
 	requestQuarantinePrefix = keyPrefix + "quarantined-requests/"
+	// unprovenValue is the value of the key of a block that others may be the cause of; that of
+	// any other is empty.
+	unprovenValue = "unproven"
 	// storeTimeout bounds the write of such a key.
 	storeTimeout = time.Second
 )
@@ -65,7 +68,11 @@
 		delete(q.stored, key)
 	} else {
 		q.stored[key] = change.Entry.ModRevision
-		isNew = q.table.Block(now, now, key)
+		block := q.table.Block
+		if string(change.Entry.Value) == unprovenValue {
+			block = q.table.BlockUnproven
+		}
+		isNew = block(now, now, key)
 	}
 	q.mu.Unlock()
 	if isNew {
@@ -88,6 +95,13 @@
 	}
 }
 
+func blockValue(b quarantine.Blocked) []byte {
+	if b.Unproven {
+		return []byte(unprovenValue)
+	}
+	return nil
+}
+
 func (g *Gateway) quarantineWrites() (txns []infra.Txn) {
 	q := g.quarantined
 	q.mu.Lock()
@@ -96,7 +110,7 @@
 	for _, b := range q.table.Blocks() {
 		blocked[b.Key] = true
 		if key := storeKey(b.Key); q.stored[b.Key] == 0 && g.isSteward(b.Key) {
-			txns = append(txns, infra.Txn{If: []infra.Compare{infra.Absent(key)}, Then: []infra.Op{infra.Put(key, nil)}})
+			txns = append(txns, infra.Txn{If: []infra.Compare{infra.Absent(key)}, Then: []infra.Op{infra.Put(key, blockValue(b))}})
 		}
 	}
 	for key, revision := range q.stored {
--- a/internal/quarantine/block.go
+++ b/internal/quarantine/block.go
@@ -200,17 +200,29 @@
 	return true
 }
 
+// BlockUnproven is like Block for a key that is blocked with others, none of which is known to be
+// the cause: it is tried soon.
+func (t *Table) BlockUnproven(now, since time.Duration, key Key) bool {
+	isNew := t.Block(now, since, key)
+	if isNew {
+		t.blocks[key].isAmbiguous = true
+	}
+	return isNew
+}
+
 // Blocked is a blocked key.
 type Blocked struct {
 	Key   Key
 	Since time.Duration
+	// Unproven is set if another key may be the cause.
+	Unproven bool
 }
 
 // Blocks returns the blocked keys, the latest first.
 func (t *Table) Blocks() []Blocked {
 	blocks := make([]Blocked, 0, len(t.blocks))
 	for key, b := range t.blocks {
-		blocks = append(blocks, Blocked{key, b.since})
+		blocks = append(blocks, Blocked{key, b.since, b.isUnproven()})
 	}
 	slices.SortFunc(blocks, func(a, b Blocked) int { return cmp.Or(cmp.Compare(b.Since, a.Since), compareKeys(a.Key, b.Key)) })
 	return blocks
--- a/internal/quarantine/suspected_test.go
+++ b/internal/quarantine/suspected_test.go
@@ -82,3 +82,33 @@
 		t.Error("its own crashes count twice")
 	}
 }
+
+// Sound requests would be refused for ten minutes if it were forgotten that another part may be
+// the cause.
+func TestPartsThatCannotBeToldApartAreTriedSoonAfterARestartOfAllDaemons(t *testing.T) {
+	const sound topology.PromptPart = 0xa0
+	e := newEvents()
+	for n := range 3 {
+		e.crash(prompt(sound, crashing, topology.PromptPart(100+n)))
+		e.pass(time.Second)
+	}
+	next := newEvents()
+	for _, b := range e.table.Blocks() {
+		block := next.table.Block
+		if b.Unproven {
+			block = next.table.BlockUnproven
+		}
+		block(next.now, next.now, b.Key)
+	}
+	if !next.isBlocked(sound) || !next.isBlocked(crashing) {
+		t.Fatalf("blocked %v, want both parts", next.table.Blocks())
+	}
+	next.pass(ambiguousPartInterval)
+	if v := next.table.Judge(next.now, sharing(sound), anyTry); !v.Trial {
+		t.Fatalf("%+v, want a trial", v)
+	}
+	next.answer(sound)
+	if next.isBlocked(sound) || !next.isBlocked(crashing) {
+		t.Errorf("after the answer %v is blocked", next.table.Blocks())
+	}
+}
