--- a/internal/quarantine/doc.go
+++ b/internal/quarantine/doc.go
@@ -13,10 +13,14 @@
 // sessions; a request's crashes count separately if it was sent to the engine after the
 // crash before, and fewer suffice if no other request was there. Crashes at one instant,
 // as of a rack, count once otherwise, and a crash that a blocked key explains does not
-// count against others.
+// count against others. Where many engines end at one instant, only what was at most of them
+// counts.
 //
 // Sound requests are at the same crashes as the cause, and share parts with it. What engines
 // have answered in the last minutes is blocked after more crashes, and only if nothing
 // without an answer explains them. Keys that still can't be told apart are all blocked, and
 // requests with one of them show soon which is the cause.
+//
+// Table.Suspected and Table.Recall carry the crashes under a part that isn't blocked yet over
+// the end of all daemons; the caller stores them, as it stores the blocks.
 package quarantine
