--- a/review/_src-2/kit/daemon.go
+++ b/review/_src-2/kit/daemon.go
@@ -9,20 +9,22 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"syscall"
 	"time"
 )
 
 // daemon is a process of the project's gateway role.
 type daemon struct {
+	name    string
 	front   string
 	ready   string
 	command *exec.Cmd
 	ended   chan struct{}
 }
 
-// settings are those of guildcal-grown, for one machine. The arguments are the loopback
-// addresses.
-const settings = `node_name = "front-zone-a-1"
+// settings are those of a machine of guildcal-grown, on loopback addresses. revoke_strict is a
+// parameter: only that site has API keys.
+const settings = `node_name = "%[7]s"
 role = "gateway"
 machine_class = "front"
 serves = ["front","control","directory"]
@@ -36,7 +38,7 @@
 discovery = "platform"
 entry = "directory"
 heartbeat_ms = 1200
-contracts = ["base","drain","config","cost","retry","recover","fleet","tenants","quota","platform"]
+contracts = ["base","drain","config","cost","retry","recover","fleet","stream","engine","platform"]
 [zones]
 zone-a = "region-a"
 [listen]
@@ -67,7 +69,7 @@
 config_apply_ms = 3000
 rollback_slack_ms = 250
 skew_max_ms = 6000
-revoke_strict = true
+revoke_strict = %[8]t
 revoke_ms = 5000
 retry_budget_ratio = 0.2
 budget_window_s = 10
@@ -106,8 +108,8 @@
 }
 
 // startDaemon starts a daemon with the command of the deploy file, except that its metrics are
-// on a free loopback address. Its log goes to log.
-func startDaemon(program, storeAddress, log string) (*daemon, error) {
+// on a free loopback address. Its settings and log are in dir.
+func startDaemon(program, storeAddress, dir, name string, hasKeys bool) (*daemon, error) {
 	var ports [6]int
 	for i := range ports {
 		var err error
@@ -116,12 +118,12 @@
 		}
 	}
 	at := func(i int) string { return fmt.Sprintf("127.0.0.1:%d", ports[i]) }
-	text := fmt.Sprintf(settings, at(0), at(1), at(2), at(3), ports[4], storeAddress)
-	boot := filepath.Join(filepath.Dir(log), "boot.toml")
+	text := fmt.Sprintf(settings, at(0), at(1), at(2), at(3), ports[4], storeAddress, name, hasKeys)
+	boot := filepath.Join(dir, name+".toml")
 	if err := os.WriteFile(boot, []byte(text), 0o600); err != nil {
 		return nil, err
 	}
-	out, err := os.Create(log)
+	out, err := os.Create(filepath.Join(dir, name+".log"))
 	if err != nil {
 		return nil, err
 	}
@@ -131,7 +133,7 @@
 	if err := command.Start(); err != nil {
 		return nil, err
 	}
-	d := &daemon{front: at(0), ready: at(1), command: command, ended: make(chan struct{})}
+	d := &daemon{name: name, front: at(0), ready: at(1), command: command, ended: make(chan struct{})}
 	go func() {
 		_ = command.Wait()
 		close(d.ended)
@@ -139,7 +141,12 @@
 	return d, nil
 }
 
+func (d *daemon) signal(s syscall.Signal) {
+	_ = d.command.Process.Signal(s)
+}
+
 func (d *daemon) stop() {
+	d.signal(syscall.SIGCONT)
 	_ = d.command.Process.Kill()
 	<-d.ended
 }
--- a/review/_src-2/kit/main.go
+++ b/review/_src-2/kit/main.go
@@ -36,7 +36,8 @@
 	defer file.Close()
 	r := &record{file: file, began: time.Now()}
 	scenarios := map[string]func(r *record, program string, trouble bool) (broken bool, err error){
-		"revoked-key": revokedKey,
+		"frozen-holder": frozenHolder,
+		"revoked-key":   revokedKey,
 	}
 	play, ok := scenarios[os.Args[1]]
 	if !ok {
--- a/review/_src-2/kit/revoked_key.go
+++ b/review/_src-2/kit/revoked_key.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"net"
 	"os"
-	"path/filepath"
 	"sync"
 	"time"
 )
@@ -71,7 +70,7 @@
 			return false, err
 		}
 	}
-	d, err := startDaemon(program, listener.Addr().String(), filepath.Join(dir, "daemon.log"))
+	d, err := startDaemon(program, listener.Addr().String(), dir, "front-zone-a-1", true)
 	if err != nil {
 		return false, err
 	}
@@ -157,6 +156,7 @@
 		statuses[a.status]++
 		ranAt, ran := orders.ranAt(a.id)
 		after := a.sentAt.Sub(ackedAt)
+		r.note("%s sent %.3f s after the ack, answered %d, ran %t", a.id, after.Seconds(), a.status, ran)
 		if ran && after > revokeBound {
 			late++
 			r.note("%s, sent %.3f s after the ack with the key that was taken away, answered %d, began to run %.3f s after the ack",
--- a/review/_src-2/kit/store.go
+++ b/review/_src-2/kit/store.go
@@ -48,8 +48,9 @@
 	leases    map[int64]*lease
 	nextLease int64
 	changed   chan struct{}
-	// refuses is set while the store turns the machine away with 503.
-	refuses bool
+	// refuses is set while the store turns the machine away with 503, and silent while it
+	// answers no call.
+	refuses, silent bool
 }
 
 func newStore() *store {
@@ -63,6 +64,19 @@
 	s.wake()
 }
 
+func (s *store) setSilent(silent bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.silent = silent
+	s.wake()
+}
+
+func (s *store) isSilent() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.silent
+}
+
 // put writes a key as the operator or an engine does.
 func (s *store) put(key string, value any) {
 	text, err := json.Marshal(value)
@@ -120,8 +134,12 @@
 	mux.HandleFunc("DELETE /-/kv-lease-end/{id}", s.serveLeaseEnd)
 	_ = http.Serve(listener, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		s.mu.Lock()
-		refuses := s.refuses
+		refuses, silent := s.refuses, s.silent
 		s.mu.Unlock()
+		if silent {
+			<-r.Context().Done()
+			panic(http.ErrAbortHandler)
+		}
 		if refuses {
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return
@@ -190,9 +208,12 @@
 				events = append(events, change)
 			}
 		}
-		asOf, compacted, refuses, changed := s.revision, after < s.compacted, s.refuses, s.changed
+		asOf, compacted, refuses, silent, changed := s.revision, after < s.compacted, s.refuses, s.silent, s.changed
 		s.mu.Unlock()
 		switch {
+		case silent:
+			<-r.Context().Done()
+			return
 		case refuses:
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return
@@ -286,6 +307,7 @@
 	reply(w, http.StatusOK, object{"lease": id, "ttl_ms": message.TTL})
 }
 
+// endLease ends a lease. Leases pause while the store is silent.
 func (s *store) endLease(id int64) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -293,6 +315,10 @@
 	if l == nil {
 		return false
 	}
+	if s.silent {
+		l.timer.Reset(l.ttl)
+		return true
+	}
 	l.timer.Stop()
 	delete(s.leases, id)
 	s.revision++
