--- a/review/_src-2/kit/daemon.go
+++ b/review/_src-2/kit/daemon.go
@@ -8,7 +8,9 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
+	"sync"
 	"syscall"
 	"time"
 )
@@ -97,6 +99,33 @@
 ttl_min_ms = 1000
 `
 
+// processes are the processes that were started.
+type processes struct {
+	mu  sync.Mutex // guards all
+	all []*os.Process
+}
+
+var running processes
+
+func (p *processes) add(process *os.Process) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.all = append(p.all, process)
+}
+
+// killAtSignal kills all processes and ends this one when it is to end early.
+func (p *processes) killAtSignal() {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	<-signals
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, process := range p.all {
+		_ = process.Kill()
+	}
+	os.Exit(exitNotRun)
+}
+
 // freePort returns a port of 127.0.0.1 that is free now.
 func freePort() (int, error) {
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
@@ -133,6 +162,7 @@
 	if err := command.Start(); err != nil {
 		return nil, err
 	}
+	running.add(command.Process)
 	d := &daemon{name: name, front: at(0), ready: at(1), command: command, ended: make(chan struct{})}
 	go func() {
 		_ = command.Wait()
--- a/review/_src-2/kit/main.go
+++ b/review/_src-2/kit/main.go
@@ -44,6 +44,7 @@
 		fmt.Fprintln(os.Stderr, "unknown scenario")
 		return exitNotRun
 	}
+	go running.killAtSignal()
 	broken, err := play(r, os.Args[3], os.Getenv("TROUBLE") != "0")
 	switch {
 	case err != nil:
