--- a/review/_src-2/kit/frozen_holder.go
+++ b/review/_src-2/kit/frozen_holder.go
@@ -62,8 +62,9 @@
 	go s.serve(listener)
 	s.put("op/config", modelConfiguration())
 	log := &orderLog{}
+	newest := &newestVersions{byAdapter: make(map[string]int64)}
 	for n := range engines {
-		if _, err := startEngine(n, s, log); err != nil {
+		if _, err := startEngine(n, s, log, &runLog{}, newest); err != nil {
 			return false, err
 		}
 	}
@@ -84,7 +85,7 @@
 		if err := d.awaitReady(); err != nil {
 			return false, err
 		}
-		sending.Go(func() { d.sendNotes(ctx, &sending) })
+		sending.Go(func() { d.sendNotes(ctx, &sending, randomAdapter) })
 	}
 	time.Sleep(12 * time.Second)
 	given := log.all()
@@ -116,8 +117,13 @@
 	return r.judgeOrders(log.all(), last.name, thawedAt), nil
 }
 
-// sendNotes sends requests for random adapters until ctx ends.
-func (d *daemon) sendNotes(ctx context.Context, sending *sync.WaitGroup) {
+// randomAdapter returns the number of the adapter of a request.
+func randomAdapter() int {
+	return 1 + rand.IntN(adapters)
+}
+
+// sendNotes sends requests for the adapters that choose returns until ctx ends.
+func (d *daemon) sendNotes(ctx context.Context, sending *sync.WaitGroup, choose func() int) {
 	ticker := time.NewTicker(requestInterval)
 	defer ticker.Stop()
 	for n := 0; ; n++ {
@@ -125,12 +131,12 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
-			sending.Go(func() { d.sendNote(ctx, fmt.Sprintf("%s-%d", d.name, n)) })
+			sending.Go(func() { d.sendNote(ctx, fmt.Sprintf("%s-%d", d.name, n), choose()) })
 		}
 	}
 }
 
-func (d *daemon) sendNote(ctx context.Context, id string) {
+func (d *daemon) sendNote(ctx context.Context, id string, adapter int) {
 	ctx, cancel := context.WithTimeout(ctx, 4*time.Second)
 	defer cancel()
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+d.front+"/orders/n", bytes.NewReader([]byte("note "+id)))
@@ -140,7 +146,7 @@
 	request.Host = host
 	request.Header.Set("X-Request-Id", id)
 	request.Header.Set("X-Deadline-Ms", "4000")
-	request.Header.Set("X-Model", fmt.Sprintf("%s/a%d", model, 1+rand.IntN(adapters)))
+	request.Header.Set("X-Model", fmt.Sprintf("%s/a%d", model, adapter))
 	request.Header.Set("X-Token-Usage", "200,20")
 	response, err := notes.Do(request)
 	if err != nil {
--- a/review/_src-2/kit/main.go
+++ b/review/_src-2/kit/main.go
@@ -38,6 +38,7 @@
 	scenarios := map[string]func(r *record, program string, trouble bool) (broken bool, err error){
 		"frozen-holder": frozenHolder,
 		"revoked-key":   revokedKey,
+		"versions":      versions,
 	}
 	play, ok := scenarios[os.Args[1]]
 	if !ok {
