fleet: owners order in an outage only if no daemon knows of a claim that they have missed

Cause: in an outage that all VMs share, an owner whose lease was no longer proven went on by its own copy of the records, as nobody can make a claim then. Whether the copy had been up to date when the outage began was not asked. A VM that was frozen for longer than its lease, or cut off from the store and the others, had missed the claims of its successors.

Now the reports of an outage carry the newest claim that the sender knows of. An owner orders if its copy reaches up to the newest one of all reports; otherwise it needs another daemon's copy that does, and that names it the engine's owner. Nothing is sent while the store answers. New fields of heartbeats have new integer keys (16 to 18).

--- a/internal/fleet/keeper.go
+++ b/internal/fleet/keeper.go
@@ -21,10 +21,9 @@
 	Self   Member
 	Timing Timing
 	Log    *slog.Logger
-	// AllDisconnected reports whether every other member has recently reported
-	// that it can't reach the key-value service either. None can then make a
-	// claim.
-	AllDisconnected func() bool
+	// Outage returns what other daemons have recently reported of an outage of the
+	// key-value service. It is called without a lock held.
+	Outage func() Outage
 	// IsOrdering reports whether a member has recently reported that it gives
 	// orders.
 	IsOrdering func(member string) bool
@@ -58,6 +57,11 @@
 	// confirmedAt maps engines to when this daemon sent the last heartbeat after
 	// which another daemon confirmed that this one still owned the engine.
 	confirmedAt map[string]time.Duration
+	// provenRevision maps engines to the highest revision at which another daemon's copy of the
+	// records named this daemon their owner, and outageRights to the last logged result of
+	// mayOrderInOutage.
+	provenRevision map[string]int64
+	outageRights   map[string]bool
 }
 
 // NewKeeper returns a Keeper that is not running.
@@ -68,8 +72,8 @@
 	if config.Timing.LeaseTTL <= 0 || config.Timing.QuietTime <= 0 {
 		return nil, errors.New("fleet: Timing: the lease's time to live and the quiet time must be positive")
 	}
-	if config.AllDisconnected == nil {
-		config.AllDisconnected = func() bool { return false }
+	if config.Outage == nil {
+		config.Outage = func() Outage { return Outage{} }
 	}
 	if config.IsOrdering == nil {
 		config.IsOrdering = func(string) bool { return false }
@@ -86,7 +90,9 @@
 		wake:   make(chan struct{}, 1),
 		table:  NewTable(config.Prefix, config.Self, config.Timing),
 
-		confirmedAt: make(map[string]time.Duration),
+		confirmedAt:    make(map[string]time.Duration),
+		provenRevision: make(map[string]int64),
+		outageRights:   make(map[string]bool),
 	}, nil
 }
 
@@ -239,13 +245,11 @@
 	k.mu.RLock()
 	token, owned := k.table.MayOrder(k.config.Now(), id)
 	_, confirmed := k.mayOrder(id)
-	everRenewed := k.everRenewed
 	k.mu.RUnlock()
 	if !owned || confirmed {
 		return token, owned
 	}
-	// During an outage that affects all members, none can claim the engine.
-	return token, everRenewed && k.config.AllDisconnected()
+	return token, k.mayOrderInOutage(id)
 }
 
 // mayOrder is MayOrder without regard to an outage that affects all members. The
--- a/internal/fleet/table.go
+++ b/internal/fleet/table.go
@@ -69,6 +69,8 @@
 	// of their keys' digests.
 	membersVersion int
 	membersDigest  uint64
+	// newestClaim is the highest revision of an engine's record that was applied.
+	newestClaim int64
 	// quotasInUse is set if there is quotasKey.
 	quotasInUse bool
 	// revision is the revision up to which the table is complete, and
@@ -183,6 +185,7 @@
 		return
 	}
 	e.revision = change.Entry.ModRevision
+	t.newestClaim = max(t.newestClaim, e.revision)
 	if json.Unmarshal(change.Entry.Value, &e.record) != nil {
 		e.record = record{}
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -210,12 +210,12 @@
 		Self: fleet.Member{
 			Name: s.VM, Zone: s.Zone, Region: s.Region, Entry: s.Entry.String(), Mesh: s.Mesh.String(), Incarnation: g.incarnation, Cores: s.Cores,
 		},
-		Timing:          fleet.Timing{LeaseTTL: max(fleet.DefaultLeaseTTL, s.MinLeaseTTL), QuietTime: s.QuietTime},
-		Log:             log,
-		AllDisconnected: g.storeUnreachableByAll,
-		IsOrdering:      g.reportedMayOrder,
-		OnChange:        g.signalReassign,
-		InheritCounted:  s.QuotaWindow > 0,
+		Timing:         fleet.Timing{LeaseTTL: max(fleet.DefaultLeaseTTL, s.MinLeaseTTL), QuietTime: s.QuietTime},
+		Log:            log,
+		Outage:         g.storeOutageReports,
+		IsOrdering:     g.reportedMayOrder,
+		OnChange:       g.signalReassign,
+		InheritCounted: s.QuotaWindow > 0,
 	}); err != nil {
 		return err
 	}
--- a/internal/gateway/notices.go
+++ b/internal/gateway/notices.go
@@ -33,7 +33,10 @@
 	lastHeartbeatAt time.Duration
 	incarnation     int64
 	storeDown       bool
-	draining        bool
+	// newestClaim and lacksClaims are the heartbeat's fields of the same names.
+	newestClaim int64
+	lacksClaims bool
+	draining    bool
 	// cutOff is set when it reaches no upstream.
 	cutOff bool
 	// notFresh is set when its configuration has not been proven the newest for too long.
@@ -82,6 +85,26 @@
 	return members
 }
 
+// newestClaim returns the highest revision of a claim in the reports of an outage that are still in
+// use at now, of daemons with and without a member key; 0 if there is none.
+func (p *peers) newestClaim(now time.Duration) int64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	newest := int64(0)
+	for _, other := range p.byName {
+		if other.reportsOutage(now) {
+			newest = max(newest, other.newestClaim)
+		}
+	}
+	return newest
+}
+
+// reportsOutage reports whether the daemon has just reported that it can't reach the key-value
+// service.
+func (p peer) reportsOutage(now time.Duration) bool {
+	return p.storeDown && now-p.lastHeartbeatAt <= outageReportTTL
+}
+
 func (g *Gateway) runHeartbeats(ctx context.Context) {
 	var selector recipientSelector
 	for clock.Sleep(ctx, heartbeatInterval) {
@@ -127,6 +150,7 @@
 	heartbeat.NotFresh = !g.isListed()
 	heartbeat.Leaving = g.recentStatements()
 	crashes.addTo(&heartbeat)
+	g.addClaims(&heartbeat)
 	g.confirmOwnership(member, &heartbeat)
 	g.mesh.Send(address, mesh.Packet{Heartbeat: &heartbeat})
 	g.router.Send(member, g.fragilityEntries()...)
@@ -159,7 +183,7 @@
 func (g *Gateway) addStoreDisconnected(recipients map[string]bool, names []string) {
 	now := clock.Boot()
 	for _, name := range names {
-		if p, ok := g.peers.get(name); ok && p.storeDown && now-p.lastHeartbeatAt < outageReportTTL {
+		if p, ok := g.peers.get(name); ok && p.reportsOutage(now) {
 			recipients[name] = true
 		}
 	}
@@ -235,15 +259,27 @@
 
 // confirmOwnership adds the engines that the receiver owns to a heartbeat, if
 // this daemon's copy of the key-value service is newer than the receiver's last
-// heartbeat. With that confirmation, a daemon that can't reach the service may
-// continue to send orders.
+// heartbeat, or lacks no claim that both know of in an outage. With that
+// confirmation, a daemon that can't reach the service may continue to send orders.
 func (g *Gateway) confirmOwnership(member string, heartbeat *mesh.Heartbeat) {
 	p, ok := g.peers.get(member)
-	if !ok || g.storeDown.Load() || g.mirror.AsOf() < p.lastHeartbeatAt {
+	switch {
+	case !ok:
+	case !g.storeDown.Load() && g.mirror.AsOf() >= p.lastHeartbeatAt:
+		heartbeat.ConfirmedEngines = g.keeper.OwnedBy(member, p.incarnation)
+		heartbeat.EchoedSentAt = p.sentAt
+	case heartbeat.StoreDown && p.storeDown && p.lacksClaims && !heartbeat.LacksClaims:
+		heartbeat.ConfirmedEngines, heartbeat.CopyRevision = g.keeper.OwnedAsOf(member, p.incarnation)
+	}
+}
+
+// addClaims adds the newest claim that this daemon knows of to a heartbeat of an outage.
+func (g *Gateway) addClaims(heartbeat *mesh.Heartbeat) {
+	if !heartbeat.StoreDown {
 		return
 	}
-	heartbeat.ConfirmedEngines = g.keeper.OwnedBy(member, p.incarnation)
-	heartbeat.EchoedSentAt = p.sentAt
+	heartbeat.NewestClaim = max(g.keeper.NewestClaim(), g.peers.newestClaim(clock.Boot()))
+	heartbeat.LacksClaims = g.keeper.Revision() < heartbeat.NewestClaim
 }
 
 // reportedMayOrder reports whether a member has just reported that it may send
@@ -309,9 +345,14 @@
 	g.peers.set(from, peer{
 		lastHeartbeatAt: clock.Boot(), incarnation: incarnation, storeDown: heartbeat.StoreDown, draining: heartbeat.Draining, cutOff: heartbeat.CutOff,
 		mayOrder: heartbeat.MayOrder, sentAt: heartbeat.SentAt, notFresh: heartbeat.NotFresh,
+		newestClaim: heartbeat.NewestClaim, lacksClaims: heartbeat.LacksClaims,
 	})
-	if len(heartbeat.ConfirmedEngines) > 0 {
+	switch {
+	case len(heartbeat.ConfirmedEngines) == 0:
+	case heartbeat.EchoedSentAt != 0:
 		g.keeper.ConfirmOwnership(heartbeat.ConfirmedEngines, time.Duration(heartbeat.EchoedSentAt))
+	default:
+		g.keeper.ProveOwnership(heartbeat.ConfirmedEngines, heartbeat.CopyRevision)
 	}
 	for _, process := range heartbeat.Leaving {
 		g.markLeaving(processKey{process.ID, process.Incarnation}, "heartbeat of "+from)
@@ -469,7 +510,7 @@
 			continue
 		}
 		p, ok := g.peers.get(m.Name)
-		if !ok || !p.storeDown || now-p.lastHeartbeatAt > outageReportTTL {
+		if !ok || !p.reportsOutage(now) {
 			return false
 		}
 		others++
@@ -477,6 +518,14 @@
 	return others > 0
 }
 
+// storeOutageReports returns what the other daemons report of an outage of the key-value service.
+func (g *Gateway) storeOutageReports() fleet.Outage {
+	if !g.storeUnreachableByAll() {
+		return fleet.Outage{}
+	}
+	return fleet.Outage{SharedByAll: true, NewestClaim: g.peers.newestClaim(clock.Boot())}
+}
+
 func useMessage(use locator.EngineUse) mesh.EngineUse {
 	message := mesh.EngineUse{Engine: use.Engine, Running: use.Running}
 	for _, u := range use.Uses {
--- a/internal/mesh/packet.go
+++ b/internal/mesh/packet.go
@@ -205,6 +205,15 @@
 	// reached the sender.
 	ConfirmedEngines []string `cbor:"7,keyasint,omitempty"`
 	EchoedSentAt     int64    `cbor:"8,keyasint,omitempty"`
+	// CopyRevision is the revision up to which the sender's copy of the key-value service
+	// is complete, if ConfirmedEngines lists engines that the receiver owned by then and
+	// EchoedSentAt is 0.
+	CopyRevision int64 `cbor:"16,keyasint,omitempty"`
+	// NewestClaim is the highest revision of an engine's record that the sender knows of,
+	// and LacksClaims is set if its copy may lack a record up to there. They are set with
+	// StoreDown only.
+	NewestClaim int64 `cbor:"17,keyasint,omitempty"`
+	LacksClaims bool  `cbor:"18,keyasint,omitempty"`
 	// CutOff is set while the sender reaches no upstream.
 	CutOff bool `cbor:"12,keyasint,omitempty"`
 	// Leaving lists processes of upstreams that have lately said in an answer that
