mirror: Revision follows the changes that it tells of

A watcher's checkpoint states the revision of its copy and the digest of its state. The revision was stored before the changes were applied, so a checkpoint that was built in between named a revision that its digest did not have; a daemon with the same digest then took its own records for complete up to there, although it lacked the last changes. Since owners go on in an outage by that revision, an owner could miss a claim by it.

Found by reading; no run showed it. TestRevisionFollowsTheChanges failed before.

--- a/internal/mirror/as_of_test.go
+++ b/internal/mirror/as_of_test.go
@@ -73,3 +73,31 @@
 		}
 	})
 }
+
+// A checkpoint told others that its daemon's copy was complete up to a revision whose changes were still being applied.
+func TestRevisionFollowsTheChanges(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		kv := fake.NewKV()
+		put(t, kv, "p/a", "0")
+		var m *Mirror
+		applied := 0
+		m, err := New(Config{KV: kv, Prefix: "p/", Log: slog.New(slog.DiscardHandler), Apply: func(_ []Change, revision int64) {
+			applied++
+			if got := m.Revision(); got >= revision {
+				t.Errorf("revision %d is stated while the changes up to %d are being applied", got, revision)
+			}
+		}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go m.Run(ctx)
+		synctest.Wait()
+		put(t, kv, "p/a", "1")
+		synctest.Wait()
+		if applied != 2 {
+			t.Errorf("%d deliveries, want 2", applied)
+		}
+	})
+}
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -309,13 +309,13 @@
 
 func (m *Mirror) deliver(changes []Change, revision int64) {
 	m.setReachable(true, nil)
-	if revision > m.revision.Load() {
-		m.revision.Store(revision)
-	}
+	revision = max(revision, m.Revision())
 	for key, last := range m.delivered {
 		if last.deleted && last.revision <= revision {
 			delete(m.delivered, key)
 		}
 	}
-	m.config.Apply(changes, m.revision.Load())
+	m.config.Apply(changes, revision)
+	// Others may rely on what Revision tells of only when the changes are in force.
+	m.revision.Store(revision)
 }
