mirror: a reply to a watch doesn't prove that the copy is complete

Cause: each reply to a watch counted as the state of the service at the time of the request. The service divides long backlogs; the first part tells of a state that is long over, and was taken for the newest. The same moment confirmed other VMs' ownership of engines, dated checkpoints and entitled VMs to shares of quotas.

Now only two things say up to when the copy is complete: a read of all keys, and a question for the service's revision, once the copy has reached the answer. Watchers ask for it when the last proof is 150 ms old, VMs without fresh proofs of others as often as needed, the others not at all.

--- a/internal/fake/kv_fault.go
+++ b/internal/fake/kv_fault.go
@@ -19,6 +19,7 @@
 type faults struct {
 	down               bool
 	watchesStalled     bool
+	watchPause         time.Duration
 	leasesFrozen       bool
 	delay              time.Duration
 	loseTxnResponses   int
@@ -101,6 +102,14 @@
 	s.faults.watchesStalled = stalled
 }
 
+// SetWatchPause sets the time between two batches of a watch. A watch then reads a backlog
+// revision by revision and reaches the service's own later.
+func (s *KV) SetWatchPause(d time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults.watchPause = d
+}
+
 // ExpireLease ends a lease at once.
 func (s *KV) ExpireLease(id infra.LeaseID) {
 	s.mu.Lock()
--- a/internal/fake/kv_watch.go
+++ b/internal/fake/kv_watch.go
@@ -5,6 +5,7 @@
 	"slices"
 	"strings"
 
+	"github.com/barleylift/barleylift/internal/clock"
 	"github.com/barleylift/barleylift/internal/infra"
 )
 
@@ -76,7 +77,7 @@
 			case <-ctx.Done():
 				return
 			}
-			if batch.Err != nil {
+			if batch.Err != nil || !s.pauseWatch(ctx) {
 				return
 			}
 		}
@@ -88,6 +89,14 @@
 	}
 }
 
+// pauseWatch waits for the time between two batches, and reports whether ctx is still active.
+func (s *KV) pauseWatch(ctx context.Context) bool {
+	s.mu.Lock()
+	pause := s.faults.watchPause
+	s.mu.Unlock()
+	return pause == 0 || clock.Sleep(ctx, pause)
+}
+
 func (s *KV) drainQueue(w *watcher) []infra.WatchBatch {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/gateway/quota_upkeep.go
+++ b/internal/gateway/quota_upkeep.go
@@ -16,8 +16,22 @@
 	// counts, of which there is one when the number has grown.
 	announceInterval = 15 * time.Second
 	countedTimeout   = 2 * time.Second
+	// quotaProofAge is the age of the proof that this VM is counted from which on it asks
+	// the key-value service itself: the coordinators' replies give one each 500 ms.
+	quotaProofAge = 2 * time.Second
 )
 
+// needsOwnProof reports whether this VM has had no proof that it is counted for too long.
+func (q *quotas) needsOwnProof() bool {
+	if !q.inUse() {
+		return false
+	}
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	age, ok := q.entitlement.ProofAge(clock.Boot())
+	return !ok || age > quotaProofAge
+}
+
 // runQuotas keeps quotas up to date until ctx ends.
 func (g *Gateway) runQuotas(ctx context.Context) {
 	done := make(chan struct{})
--- a/internal/gateway/watchers.go
+++ b/internal/gateway/watchers.go
@@ -87,21 +87,26 @@
 
 func (g *Gateway) setWatchPause() {
 	pause, hold := time.Duration(watchPauseShare*float64(g.settings.Load().MaxStaleness)), maxWatchHold
+	proofAge := time.Duration(0)
 	if g.keysNeedProof() {
 		hold = g.ownProofHold()
 	}
 	switch {
 	case g.isWatcher():
-		pause, hold = watcherPause, watcherHold
+		pause, hold, proofAge = watcherPause, watcherHold, watcherPause
 	case g.proofNeedsRead():
-		pause = min(pause, hold)
+		pause, proofAge = min(pause, hold), hold/2
 		if g.proof.NewerKnown() {
-			pause = watcherPause // API keys are not accepted until the version is read
+			pause, proofAge = watcherPause, watcherPause // API keys are not accepted until the version is read
 		}
 	case g.copyIsProven():
 		pause = provenWatchPause
 	}
+	if proofAge == 0 && g.quotas.needsOwnProof() {
+		proofAge = quotaProofAge
+	}
 	g.platform.SetWatchTiming(pause, hold)
+	g.mirror.SetProofAge(proofAge)
 }
 
 // urgency is how soon other daemons should receive a change.
--- a/internal/infra/kv.go
+++ b/internal/infra/kv.go
@@ -138,15 +138,12 @@
 	Reads     [][]Entry
 }
 
-// WatchBatch is a set of changes that took effect at one or more revisions.
+// WatchBatch is a set of changes that took effect at one or more revisions. It holds all up to
+// Revision, which may be far behind the service's own: a long backlog comes in parts.
 type WatchBatch struct {
 	Events   []WatchEvent
 	Revision int64
 	Err      error
-	// RequestedAt is the reading of clock.Boot at which the client requested the
-	// batch, if it requests each one: the revision is no older than that. It is
-	// 0 if unknown.
-	RequestedAt time.Duration
 }
 
 // WatchEvent is one change of a key. Deletions hold the key only.
--- a/internal/mirror/as_of_test.go
+++ b/internal/mirror/as_of_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"log/slog"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -13,8 +14,7 @@
 	"github.com/barleylift/barleylift/internal/infra"
 )
 
-// timedKV records when the last read of all keys arrived, and when it was answered. Its
-// watches say nothing of when they were requested.
+// timedKV records when the last read of all keys arrived, and when it was answered.
 type timedKV struct {
 	*fake.KV
 	arrivedAt, answeredAt time.Duration
@@ -74,6 +74,52 @@
 	})
 }
 
+// The first part of a backlog counted as the newest state of the service, although more parts were to come.
+func TestPartOfABacklogLeavesAsOf(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		origin := time.Now()
+		now := func() time.Duration { return time.Since(origin) + time.Second }
+		kv := fake.NewKV()
+		put(t, kv, "p/a", "0")
+		var value atomic.Value
+		m, err := New(Config{KV: kv, Prefix: "p/", Log: slog.New(slog.DiscardHandler), Now: now, Apply: func(changes []Change, _ int64) {
+			for _, change := range changes {
+				value.Store(string(change.Entry.Value))
+			}
+		}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go m.Run(ctx)
+		const proofAge, watchPause = 200 * time.Millisecond, time.Second
+		m.SetProofAge(proofAge)
+		time.Sleep(2 * proofAge)
+		if age := now() - m.AsOf(); age > 2*proofAge {
+			t.Errorf("AsOf is %v old while the copy is complete", age)
+		}
+		kv.SetDown(true)
+		synctest.Wait()
+		lostAt := now()
+		kv.SetWatchPause(watchPause)
+		kv.SetDown(false)
+		const parts = 3
+		for n := range parts {
+			put(t, kv, "p/a", string(rune('1'+n)))
+		}
+		for end := now() + 2*maxRetryPause + parts*watchPause; now() < end; time.Sleep(proofAge / 4) {
+			// AsOf is read first, as the value may change meanwhile.
+			if asOf := m.AsOf(); value.Load() != "3" && asOf > lostAt {
+				t.Fatalf("AsOf tells of the time after the outage while the copy has the value %v of %d", value.Load(), parts)
+			}
+		}
+		if age := now() - m.AsOf(); value.Load() != "3" || age > 2*proofAge {
+			t.Errorf("AsOf is %v old with the value %v, want %d", age, value.Load(), parts)
+		}
+	})
+}
+
 // A checkpoint told others that its daemon's copy was complete up to a revision whose changes were still being applied.
 func TestRevisionFollowsTheChanges(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"slices"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -51,6 +52,8 @@
 	// ReachabilityChanged is called when the service becomes reachable or
 	// unreachable; it may be nil.
 	ReachabilityChanged func(bool)
+	// Now reads a clock that counts suspended time; nil for clock.Boot.
+	Now func() time.Duration
 }
 
 // Mirror follows the keys with a prefix.
@@ -60,11 +63,9 @@
 	// delivered holds the last delivered change of each key. Only Run uses it.
 	delivered map[string]deliveredKey
 	// injected passes changes from Inject to Run.
-	injected chan []Change
-	revision atomic.Int64
-	// asOf is when the service was last asked for the state that the copy now
-	// reflects, by clock.Boot.
-	asOf              atomic.Int64
+	injected          chan []Change
+	revision          atomic.Int64
+	proofs            proofs
 	reachable         bool
 	reachabilityKnown bool
 }
@@ -84,6 +85,9 @@
 	if config.KV == nil || config.Apply == nil || config.Log == nil {
 		return nil, errors.New("mirror: KV, Apply and Log are required")
 	}
+	if config.Now == nil {
+		config.Now = clock.Boot
+	}
 	return &Mirror{config: config, log: config.Log.With("part", "store"), delivered: make(map[string]deliveredKey), injected: make(chan []Change, injectedCapacity)}, nil
 }
 
@@ -93,12 +97,6 @@
 	return m.revision.Load()
 }
 
-// AsOf returns a reading of clock.Boot: the copy reflects all changes made up to
-// then, as Apply has received them. It is 0 if unknown.
-func (m *Mirror) AsOf() time.Duration {
-	return time.Duration(m.asOf.Load())
-}
-
 // Inject queues changes that another daemon has received first. Those that the
 // copy already reflects are ignored. The watch delivers the same changes later,
 // so they are dropped if the queue is full.
@@ -112,6 +110,9 @@
 
 // Run follows the keys until ctx ends.
 func (m *Mirror) Run(ctx context.Context) {
+	var proving sync.WaitGroup
+	defer proving.Wait()
+	proving.Go(func() { m.runProofs(ctx) })
 	failures := 0
 	read := false
 	for ctx.Err() == nil {
@@ -194,25 +195,25 @@
 // aborted read of all keys would waste the work of a large fleet's service.
 func (m *Mirror) probeAndRead(ctx context.Context, failures int) error {
 	if m.Revision() == 0 {
-		if err := m.probe(ctx, failures); err != nil {
+		doublings := min(max(failures-probeTries+1, 0), 8)
+		if _, err := m.probe(ctx, min(probeTimeout<<doublings, maxProbeTimeout)); err != nil {
 			return err
 		}
 	}
 	return m.read(ctx)
 }
 
-// probe reads a range without keys from the service.
-func (m *Mirror) probe(ctx context.Context, failures int) error {
-	doublings := min(max(failures-probeTries+1, 0), 8)
-	ctx, cancel := context.WithTimeout(ctx, min(probeTimeout<<doublings, maxProbeTimeout))
+// probe reads a range without keys from the service, and returns the service's revision.
+func (m *Mirror) probe(ctx context.Context, timeout time.Duration) (revision int64, err error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	_, err := m.config.KV.Range(ctx, m.config.Prefix+probePrefix)
-	return err
+	result, err := m.config.KV.Range(ctx, m.config.Prefix+probePrefix)
+	return result.Revision, err
 }
 
 // read reads all keys at once and delivers the differences from the copy.
 func (m *Mirror) read(ctx context.Context) error {
-	requestedAt := clock.Boot()
+	requestedAt := m.config.Now()
 	result, err := m.config.KV.Range(ctx, m.config.Prefix)
 	if err != nil {
 		return err
@@ -240,7 +241,7 @@
 	}
 	m.deliver(m.filterNew(changes), result.Revision)
 	// Every page was requested after this, so no change from before it is missing.
-	m.asOf.Store(int64(requestedAt))
+	m.proofs.complete(requestedAt)
 	return nil
 }
 
@@ -262,7 +263,6 @@
 				return batch.Err
 			}
 			m.deliver(m.filterNew(changesOf(batch)), batch.Revision)
-			m.asOf.Store(int64(batch.RequestedAt))
 		case changes := <-m.injected:
 			m.config.Apply(m.filterNew(changes), m.Revision())
 			if hasLaterEra(changes, m.Revision()) {
@@ -316,6 +316,7 @@
 		}
 	}
 	m.config.Apply(changes, revision)
-	// Others may rely on what Revision tells of only when the changes are in force.
+	// Others may rely on what Revision and AsOf tell of only when the changes are in force.
 	m.revision.Store(revision)
+	m.proofs.reach(revision)
 }
--- a/internal/quota/entitlement.go
+++ b/internal/quota/entitlement.go
@@ -126,6 +126,12 @@
 	}
 }
 
+// ProofAge returns how long ago the service is known to have held the own member key; false if it
+// never was.
+func (e *Entitlement) ProofAge(now time.Duration) (age time.Duration, ok bool) {
+	return now - e.provenAt, e.provenAt != 0
+}
+
 // Entitled reports whether the VM is entitled now.
 func (e *Entitlement) Entitled(now time.Duration) bool {
 	e.Advance(now)
