locator: each adapter version's grace period counts from its own successor

What callers saw: while versions 2 to 5 of an adapter were named 1.6 s apart, without any disruption, requests began on version 1 for 6.8 s, more than 5 s after version 2 was acknowledged (VERSION).

Cause: a daemon kept one older version that may still begin requests, and one moment at which it learned of the newest. A version that came within the grace period took the oldest allowed version over and began its time anew, so it stayed allowed for as long as versions followed each other within 2 s.

Now each older version has its own moment, at which the next one was learned of.

Evidence: TestEachVersionIsAllowedFromItsOwnSuccessorOn failed before (400 ms after version 3: allowed 1, want 2).

--- a/internal/locator/locator_test.go
+++ b/internal/locator/locator_test.go
@@ -108,7 +108,7 @@
 // A newer version is needed at once; requests may begin with the older one
 // within versionGrace only.
 func TestVersionsInForce(t *testing.T) {
-	v := versions{newest: 3, previous: 2, learnedAt: time.Minute}
+	v := versions{newest: 2}.with(3, time.Minute)
 	tests := []struct {
 		at              time.Duration
 		needed, allowed int64
@@ -134,6 +134,29 @@
 	}
 }
 
+// Versions that followed each other within the grace period kept the oldest one allowed, and began its time anew.
+func TestEachVersionIsAllowedFromItsOwnSuccessorOn(t *testing.T) {
+	const interval = versionGrace * 4 / 5
+	v := versions{newest: 1}
+	learned := func(version int64) time.Duration { return time.Minute + time.Duration(version)*interval }
+	for version := int64(2); version <= 6; version++ {
+		v = v.with(version, learned(version))
+		for _, after := range []time.Duration{0, versionGrace - interval - 1, versionGrace - interval, interval - 1} {
+			now := learned(version) + after
+			wantAllowed := version - 1
+			if version > 2 && now < learned(version-1)+versionGrace {
+				wantAllowed = version - 2
+			}
+			if needed, allowed := v.at(now); needed != version || allowed != wantAllowed {
+				t.Errorf("%v after version %d: needed %d, allowed %d; want %d, %d", after, version, needed, allowed, version, wantAllowed)
+			}
+		}
+	}
+	if len(v.older) > 2 {
+		t.Errorf("%d older versions are kept", len(v.older))
+	}
+}
+
 // While an older version may still serve, engines that hold it get requests for
 // that version: a request for the newest would make their owners replace the
 // adapter while it serves requests.
--- a/internal/locator/versions.go
+++ b/internal/locator/versions.go
@@ -1,6 +1,7 @@
 package locator
 
 import (
+	"slices"
 	"strconv"
 	"time"
 
@@ -17,20 +18,36 @@
 
 // versions holds the versions of an adapter that the operator has set.
 type versions struct {
-	newest    int64
-	previous  int64
-	learnedAt time.Duration
+	newest int64
+	// older lists the versions that may still begin requests, oldest first, and some for which
+	// that is over.
+	older []olderVersion
+}
+
+// olderVersion is a version that was the newest one until supersededAt, by clock.Boot.
+type olderVersion struct {
+	version      int64
+	supersededAt time.Duration
 }
 
 // at returns the version that requests need, and the oldest one that they may
-// still use.
+// still use. Each version's time counts from when this daemon learned of the next one,
+// however many follow.
 func (v versions) at(now time.Duration) (needed, allowed int64) {
-	if now-v.learnedAt < versionGrace {
-		return v.newest, v.previous
+	for _, o := range v.older {
+		if now-o.supersededAt < versionGrace {
+			return v.newest, o.version
+		}
 	}
 	return v.newest, v.newest
 }
 
+// with returns the versions after a newer one was learned of at now.
+func (v versions) with(version int64, now time.Duration) versions {
+	older := slices.DeleteFunc(slices.Clone(v.older), func(o olderVersion) bool { return now-o.supersededAt >= versionGrace })
+	return versions{newest: version, older: append(older, olderVersion{v.newest, now})}
+}
+
 // SetVersion sets the version of an adapter. A version that is not newer than
 // the current one is ignored.
 func (l *Locator) SetVersion(adapter topology.Adapter, version int64) {
@@ -40,8 +57,7 @@
 	if version <= current.newest {
 		return
 	}
-	_, allowed := current.at(clock.Boot())
-	l.versions[adapter] = versions{newest: version, previous: allowed, learnedAt: clock.Boot()}
+	l.versions[adapter] = current.with(version, clock.Boot())
 }
 
 // VersionsDigest returns a digest of the newest versions of all adapters.
