relay: the version of an adapter is checked just before each send

A request asks for admission to an engine that holds an older version while that may begin requests, and may wait there beyond that time; a resent request may wait up to its deadline. It was then sent with whatever version the engine held. Now a request whose engine holds too old a version by then chooses again, and the log says so.

TestVersionIsCheckedJustBeforeTheSend tests the check.

--- a/internal/locator/locator.go
+++ b/internal/locator/locator.go
@@ -228,15 +228,17 @@
 	return replicas
 }
 
-// HeldVersion returns the version of an adapter that an engine is assumed to
-// hold; 0 for none.
-func (l *Locator) HeldVersion(engine string, adapter topology.Adapter) int64 {
+// VersionToSend returns the version of an adapter that an engine is assumed to hold, 0 for none,
+// and whether a request may begin on it now. It is asked just before each send, as the request may have waited
+// for longer than an older version was allowed.
+func (l *Locator) VersionToSend(engine string, adapter topology.Adapter) (version int64, allowed bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if v := l.views[engine]; v != nil {
-		return v.held[adapter]
+		version = v.held[adapter]
 	}
-	return 0
+	_, oldest := l.versions[adapter].at(clock.Boot())
+	return version, version >= oldest
 }
 
 // BeginRequest counts a request that is about to be sent to an upstream.
--- a/internal/locator/locator_test.go
+++ b/internal/locator/locator_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/barleylift/barleylift/internal/clock"
 	"github.com/barleylift/barleylift/internal/orders"
 	"github.com/barleylift/barleylift/internal/ratelimit"
 	"github.com/barleylift/barleylift/internal/residency"
@@ -157,6 +158,24 @@
 	}
 }
 
+// A request that waited for longer than an older version was allowed began on that version.
+func TestVersionIsCheckedJustBeforeTheSend(t *testing.T) {
+	o := newOwner(t)
+	o.locator.SetUpstream(engine("e", nil))
+	o.locator.SetVersion(climb, 2)
+	if held, allowed := o.locator.VersionToSend("e", climb); held != 1 || !allowed {
+		t.Errorf("held %d, allowed %v just after version 2, want 1, true", held, allowed)
+	}
+	o.locator.versions[climb] = versions{newest: 1}.with(2, clock.Boot()-versionGrace)
+	if held, allowed := o.locator.VersionToSend("e", climb); held != 1 || allowed {
+		t.Errorf("held %d, allowed %v after the grace period, want 1, false", held, allowed)
+	}
+	o.locator.ApplyState(orders.EngineState{Engine: "e", Incarnation: 1, Held: []residency.HeldAdapter{{Adapter: climb, Version: 2}}})
+	if held, allowed := o.locator.VersionToSend("e", climb); held != 2 || !allowed {
+		t.Errorf("held %d, allowed %v at an engine with version 2, want 2, true", held, allowed)
+	}
+}
+
 // While an older version may still serve, engines that hold it get requests for
 // that version: a request for the newest would make their owners replace the
 // adapter while it serves requests.
--- a/internal/relay/model.go
+++ b/internal/relay/model.go
@@ -283,6 +283,12 @@
 		e.tried = append(e.tried, id)
 		return false
 	}
+	version, allowed := engines.VersionToSend(id, e.call.Adapter)
+	if !allowed {
+		e.relay.log.Info("engine holds too old a version of the adapter, choosing again", "id", e.call.ID, "engine", id, "adapter", e.call.Adapter.String(),
+			"held", version, "version", engines.NeededVersion(e.call.Adapter))
+		return false
+	}
 	e.upstreamID = id
 	engines.BeginRequest(id, e.call.Adapter, ticket != 0)
 	engines.RecordPrompt(id, e.expected.links)
@@ -290,7 +296,7 @@
 	ctx, end := e.beginSend(e.ctx)
 	defer end()
 	result := e.send(ctx, upstream, ticket != 0, SendParams{
-		AdapterVersion: engines.HeldVersion(id, e.call.Adapter),
+		AdapterVersion: version,
 		Priority:       e.priority(),
 		LastEventID:    e.lastEventID,
 	})
