gateway: a watcher renews its proof as often as its use needs; late proofs confirm earlier heartbeats

Now a checkpoint's interval is enough, 300 ms where API keys need proofs, and 150 ms while a VM reports that it can't reach the service.

A heartbeat was confirmed only if the copy was complete after the daemon's last one. A proof by a question comes up to some 300 ms later than one by the reply to a watch did, so the last four heartbeats are kept and the last one that had arrived by then is confirmed; EchoedSentAt names it as before.

--- a/internal/gateway/completeness.go
+++ b/internal/gateway/completeness.go
@@ -66,12 +66,16 @@
 	return now < c.provenUntil
 }
 
+// checkpointInterval returns the time between two checkpoints of a watcher.
+func (g *Gateway) checkpointInterval() time.Duration {
+	return time.Duration(checkpointShare * float64(g.settings.Load().MaxStaleness))
+}
+
 // sendCheckpoints sends a checkpoint to all other daemons if this one is a
 // watcher and the last ones were sent long enough ago.
 func (g *Gateway) sendCheckpoints(now time.Duration) {
-	interval := time.Duration(checkpointShare * float64(g.settings.Load().MaxStaleness))
 	asOf := g.mirror.AsOf()
-	if now-g.lastCheckpointAt < interval || asOf == 0 || !g.isWatcher() {
+	if now-g.lastCheckpointAt < g.checkpointInterval() || asOf == 0 || !g.isWatcher() {
 		return
 	}
 	g.lastCheckpointAt = now
--- a/internal/gateway/notices.go
+++ b/internal/gateway/notices.go
@@ -43,8 +43,34 @@
 	notFresh bool
 	// mayOrder is set when it may send orders to an engine.
 	mayOrder bool
-	// sentAt is its clock.Boot when it sent the heartbeat.
-	sentAt int64
+	// recent are its last heartbeats, oldest first.
+	recent []heardHeartbeat
+}
+
+// keptHeartbeats is the number of a daemon's heartbeats that may still be confirmed: a proof that
+// this daemon's copy is complete comes after several of them.
+const keptHeartbeats = 4
+
+// heardHeartbeat is when a heartbeat arrived, and the sender's clock.Boot when it was sent.
+type heardHeartbeat struct {
+	arrivedAt time.Duration
+	sentAt    int64
+}
+
+// with returns the daemon's last heartbeats after another one of the same process.
+func (p peer) with(h heardHeartbeat) []heardHeartbeat {
+	kept := p.recent[max(len(p.recent)-keptHeartbeats+1, 0):]
+	return append(slices.Clone(kept), h)
+}
+
+// arrivedBy returns when the last heartbeat that had arrived by asOf was sent.
+func (p peer) arrivedBy(asOf time.Duration) (sentAt int64, ok bool) {
+	for _, h := range slices.Backward(p.recent) {
+		if h.arrivedAt <= asOf {
+			return h.sentAt, true
+		}
+	}
+	return 0, false
 }
 
 // peers holds the last heartbeats of other daemons. It is safe for concurrent
@@ -99,6 +125,19 @@
 	return newest
 }
 
+// anyReportsOutage reports whether a daemon has just reported that it can't reach the key-value
+// service.
+func (p *peers) anyReportsOutage(now time.Duration) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, other := range p.byName {
+		if other.reportsOutage(now) {
+			return true
+		}
+	}
+	return false
+}
+
 // reportsOutage reports whether the daemon has just reported that it can't reach the key-value
 // service.
 func (p peer) reportsOutage(now time.Duration) bool {
@@ -258,16 +297,19 @@
 }
 
 // confirmOwnership adds the engines that the receiver owns to a heartbeat, if
-// this daemon's copy of the key-value service is newer than the receiver's last
-// heartbeat, or lacks no claim that both know of in an outage. With that
+// this daemon's copy of the key-value service is newer than one of the receiver's
+// last heartbeats, or lacks no claim that both know of in an outage. With that
 // confirmation, a daemon that can't reach the service may continue to send orders.
 func (g *Gateway) confirmOwnership(member string, heartbeat *mesh.Heartbeat) {
 	p, ok := g.peers.get(member)
+	if !ok {
+		return
+	}
+	sentAt, isNewer := p.arrivedBy(g.mirror.AsOf())
 	switch {
-	case !ok:
-	case !g.storeDown.Load() && g.mirror.AsOf() >= p.lastHeartbeatAt:
+	case isNewer && !g.storeDown.Load():
 		heartbeat.ConfirmedEngines = g.keeper.OwnedBy(member, p.incarnation)
-		heartbeat.EchoedSentAt = p.sentAt
+		heartbeat.EchoedSentAt = sentAt
 	case heartbeat.StoreDown && p.storeDown && p.lacksClaims && !heartbeat.LacksClaims:
 		heartbeat.ConfirmedEngines, heartbeat.CopyRevision = g.keeper.OwnedAsOf(member, p.incarnation)
 	}
@@ -342,9 +384,14 @@
 }
 
 func (g *Gateway) receiveHeartbeat(from string, incarnation int64, heartbeat *mesh.Heartbeat) {
+	now := clock.Boot()
+	previous, ok := g.peers.get(from)
+	if !ok || previous.incarnation != incarnation {
+		previous = peer{}
+	}
 	g.peers.set(from, peer{
-		lastHeartbeatAt: clock.Boot(), incarnation: incarnation, storeDown: heartbeat.StoreDown, draining: heartbeat.Draining, cutOff: heartbeat.CutOff,
-		mayOrder: heartbeat.MayOrder, sentAt: heartbeat.SentAt, notFresh: heartbeat.NotFresh,
+		lastHeartbeatAt: now, incarnation: incarnation, storeDown: heartbeat.StoreDown, draining: heartbeat.Draining, cutOff: heartbeat.CutOff,
+		mayOrder: heartbeat.MayOrder, recent: previous.with(heardHeartbeat{now, heartbeat.SentAt}), notFresh: heartbeat.NotFresh,
 		newestClaim: heartbeat.NewestClaim, lacksClaims: heartbeat.LacksClaims,
 	})
 	switch {
--- a/internal/gateway/notices_test.go
+++ b/internal/gateway/notices_test.go
@@ -24,3 +24,19 @@
 		}
 	}
 }
+
+// A copy that was complete after a daemon's second last heartbeat didn't confirm that one, and with heartbeats each 300 ms hardly any.
+func TestHeartbeatsThatArrivedByAProofAreConfirmed(t *testing.T) {
+	var p peer
+	for n := range 6 {
+		p.recent = p.with(heardHeartbeat{arrivedAt: time.Duration(n) * time.Second, sentAt: int64(100 + n)})
+	}
+	if len(p.recent) != keptHeartbeats {
+		t.Errorf("%d heartbeats are kept, want %d", len(p.recent), keptHeartbeats)
+	}
+	for asOf, want := range map[time.Duration]int64{9 * time.Second: 105, 5 * time.Second: 105, 5*time.Second - 1: 104, 2 * time.Second: 102, 2*time.Second - 1: 0} {
+		if sentAt, ok := p.arrivedBy(asOf); sentAt != want || ok != (want != 0) {
+			t.Errorf("a copy as of %v confirms the heartbeat of %d, %v, want %d", asOf, sentAt, ok, want)
+		}
+	}
+}
--- a/internal/gateway/watchers.go
+++ b/internal/gateway/watchers.go
@@ -5,6 +5,7 @@
 	"strings"
 	"time"
 
+	"github.com/barleylift/barleylift/internal/clock"
 	"github.com/barleylift/barleylift/internal/fleet"
 	"github.com/barleylift/barleylift/internal/infra"
 	"github.com/barleylift/barleylift/internal/mesh"
@@ -93,7 +94,7 @@
 	}
 	switch {
 	case g.isWatcher():
-		pause, hold, proofAge = watcherPause, watcherHold, watcherPause
+		pause, hold, proofAge = watcherPause, watcherHold, g.watcherProofAge()
 	case g.proofNeedsRead():
 		pause, proofAge = min(pause, hold), hold/2
 		if g.proof.NewerKnown() {
@@ -109,6 +110,20 @@
 	g.mirror.SetProofAge(proofAge)
 }
 
+// watcherProofAge returns the age of the proof that its copy is complete from which on a watcher
+// renews it: the checkpoints need one each, API keys a newer one, and daemons that can't reach the
+// service rely on it for each of their orders.
+func (g *Gateway) watcherProofAge() time.Duration {
+	switch {
+	case g.peers.anyReportsOutage(clock.Boot()):
+		return watcherPause
+	case g.keysNeedProof():
+		return watcherHold
+	default:
+		return g.checkpointInterval()
+	}
+}
+
 // urgency is how soon other daemons should receive a change.
 type urgency int
 
