gateway: a VM trusts its view of software versions in an outage only if no VM knows of newer software

TestVMCutOffDuringAReleaseDoesNotTrustItsViewInAnOutage failed before (200, want 503). Reports of an outage carry the newest revision of software (field 19 of heartbeats).

--- a/internal/gateway/apply.go
+++ b/internal/gateway/apply.go
@@ -44,6 +44,7 @@
 		case update.Config != nil:
 			g.applyConfig(*update.Config)
 		case update.Upstream != nil:
+			g.noteProcess(change.Entry, *update.Upstream)
 			g.applyUpstream(*update.Upstream)
 		case update.RemovedUpstream != "":
 			g.applyRemoval(update.RemovedUpstream)
--- a/internal/gateway/notices.go
+++ b/internal/gateway/notices.go
@@ -33,10 +33,12 @@
 	lastHeartbeatAt time.Duration
 	incarnation     int64
 	storeDown       bool
-	// newestClaim and lacksClaims are the heartbeat's fields of the same names.
-	newestClaim int64
-	lacksClaims bool
-	draining    bool
+	// newestClaim, lacksClaims and newestSoftware are the heartbeat's fields of the same
+	// names.
+	newestClaim    int64
+	lacksClaims    bool
+	newestSoftware int64
+	draining       bool
 	// cutOff is set when it reaches no upstream.
 	cutOff bool
 	// notFresh is set when its configuration has not been proven the newest for too long.
@@ -111,20 +113,24 @@
 	return members
 }
 
-// newestClaim returns the highest revision of a claim in the reports of an outage that are still in
-// use at now, of daemons with and without a member key; 0 if there is none.
-func (p *peers) newestClaim(now time.Duration) int64 {
+// newestReported returns the highest revision in the reports of an outage that are still in use at
+// now, of daemons with and without a member key; 0 if there is none. of selects the revision.
+func (p *peers) newestReported(now time.Duration, of func(peer) int64) int64 {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	newest := int64(0)
 	for _, other := range p.byName {
 		if other.reportsOutage(now) {
-			newest = max(newest, other.newestClaim)
+			newest = max(newest, of(other))
 		}
 	}
 	return newest
 }
 
+// newestClaim and newestSoftware select a revision of a report.
+func newestClaim(p peer) int64    { return p.newestClaim }
+func newestSoftware(p peer) int64 { return p.newestSoftware }
+
 // anyReportsOutage reports whether a daemon has just reported that it can't reach the key-value
 // service.
 func (p *peers) anyReportsOutage(now time.Duration) bool {
@@ -189,7 +195,7 @@
 	heartbeat.NotFresh = !g.isListed()
 	heartbeat.Leaving = g.recentStatements()
 	crashes.addTo(&heartbeat)
-	g.addClaims(&heartbeat)
+	g.addNewestRecords(&heartbeat)
 	g.confirmOwnership(member, &heartbeat)
 	g.mesh.Send(address, mesh.Packet{Heartbeat: &heartbeat})
 	g.router.Send(member, g.fragilityEntries()...)
@@ -315,12 +321,14 @@
 	}
 }
 
-// addClaims adds the newest claim that this daemon knows of to a heartbeat of an outage.
-func (g *Gateway) addClaims(heartbeat *mesh.Heartbeat) {
+// addNewestRecords adds the newest claim and the newest software that this daemon knows of to a heartbeat of an outage.
+func (g *Gateway) addNewestRecords(heartbeat *mesh.Heartbeat) {
 	if !heartbeat.StoreDown {
 		return
 	}
-	heartbeat.NewestClaim = max(g.keeper.NewestClaim(), g.peers.newestClaim(clock.Boot()))
+	now := clock.Boot()
+	heartbeat.NewestSoftware = max(g.software.newestRevision(), g.peers.newestReported(now, newestSoftware))
+	heartbeat.NewestClaim = max(g.keeper.NewestClaim(), g.peers.newestReported(now, newestClaim))
 	heartbeat.LacksClaims = g.keeper.Revision() < heartbeat.NewestClaim
 }
 
@@ -392,7 +400,7 @@
 	g.peers.set(from, peer{
 		lastHeartbeatAt: now, incarnation: incarnation, storeDown: heartbeat.StoreDown, draining: heartbeat.Draining, cutOff: heartbeat.CutOff,
 		mayOrder: heartbeat.MayOrder, recent: previous.with(heardHeartbeat{now, heartbeat.SentAt}), notFresh: heartbeat.NotFresh,
-		newestClaim: heartbeat.NewestClaim, lacksClaims: heartbeat.LacksClaims,
+		newestClaim: heartbeat.NewestClaim, lacksClaims: heartbeat.LacksClaims, newestSoftware: heartbeat.NewestSoftware,
 	})
 	switch {
 	case len(heartbeat.ConfirmedEngines) == 0:
@@ -570,7 +578,7 @@
 	if !g.storeUnreachableByAll() {
 		return fleet.Outage{}
 	}
-	return fleet.Outage{SharedByAll: true, NewestClaim: g.peers.newestClaim(clock.Boot())}
+	return fleet.Outage{SharedByAll: true, NewestClaim: g.peers.newestReported(clock.Boot(), newestClaim)}
 }
 
 func useMessage(use locator.EngineUse) mesh.EngineUse {
--- a/internal/gateway/software.go
+++ b/internal/gateway/software.go
@@ -14,6 +14,7 @@
 	"github.com/barleylift/barleylift/internal/infra"
 	"github.com/barleylift/barleylift/internal/mirror"
 	"github.com/barleylift/barleylift/internal/origin"
+	"github.com/barleylift/barleylift/internal/topology"
 )
 
 const (
@@ -35,8 +36,11 @@
 	// records holds the services' versions, and revisions those of their keys.
 	records   map[string]origin.VersionRecord
 	revisions map[string]int64
-	archive   *origin.Archive
-	pending   origin.Pending
+	// newest is the highest revision at which an upstream's process registered or a record
+	// changed.
+	newest  int64
+	archive *origin.Archive
+	pending origin.Pending
 
 	// announced holds when this daemon last had a version written as in use, by clock.Boot.
 	announced map[usedVersion]time.Duration
@@ -92,11 +96,40 @@
 		s.records[service] = record
 	}
 	s.revisions[service] = change.Entry.ModRevision
+	s.newest = max(s.newest, change.Entry.ModRevision)
 	if change.Deleted {
 		s.revisions[service] = 0
 	}
 }
 
+// raise records that software may have changed at a revision.
+func (s *software) raise(revision int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.newest = max(s.newest, revision)
+}
+
+// newestRevision returns the highest revision at which software may have changed.
+func (s *software) newestRevision() int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.newest
+}
+
+// noteProcess records a registration that is about to be applied, if it is of another process
+// than before. Of an upstream that wasn't known, the process may be as old as the registration.
+func (g *Gateway) noteProcess(entry infra.Entry, upstream topology.Upstream) {
+	g.mu.Lock()
+	current, isKnown := g.upstreams[upstream.ID]
+	g.mu.Unlock()
+	switch {
+	case !isKnown:
+		g.software.raise(entry.CreateRevision)
+	case !upstream.SameProcess(current) || upstream.SoftwareVersion != current.SoftwareVersion:
+		g.software.raise(entry.ModRevision)
+	}
+}
+
 // OnlySoftwareVersion implements relay.Origins. What this daemon has seen may be old: it may
 // have been cut off or paused while engines of another version joined. So the key-value service
 // is asked.
--- a/internal/gateway/software_record.go
+++ b/internal/gateway/software_record.go
@@ -23,16 +23,16 @@
 
 // isOnlyRecordedVersion reports whether the key-value service has no other software version of a
 // service that streams may have begun at. A daemon that can't reach the service takes its own
-// view for complete only if all others have lost the service too: else they may have seen
-// engines join since.
+// view for complete only if all others have lost the service too, else they may have seen
+// engines join since, and if none knows of software that its copy may lack.
 func (g *Gateway) isOnlyRecordedVersion(ctx context.Context, service, version string) bool {
 	ctx, cancel := context.WithTimeout(ctx, versionReadTimeout)
 	defer cancel()
 	entry, err := g.platform.Store().Get(ctx, softwarePrefix+service)
 	if err != nil {
-		lostByAll := g.storeUnreachableByAll()
-		g.log.Info("software versions can't be read", "service", service, "version", version, "store_lost_by_all", lostByAll, "error", err)
-		return lostByAll
+		lostByAll, copied, newest := g.storeUnreachableByAll(), g.mirror.Revision(), g.peers.newestReported(clock.Boot(), newestSoftware)
+		g.log.Info("software versions can't be read", "service", service, "version", version, "store_lost_by_all", lostByAll, "copied_revision", copied, "newest_software", newest, "error", err)
+		return lostByAll && copied >= newest
 	}
 	var record origin.VersionRecord
 	if entry.Exists() {
--- a/internal/mesh/packet.go
+++ b/internal/mesh/packet.go
@@ -214,6 +214,10 @@
 	// StoreDown only.
 	NewestClaim int64 `cbor:"17,keyasint,omitempty"`
 	LacksClaims bool  `cbor:"18,keyasint,omitempty"`
+	// NewestSoftware is the highest revision that the sender knows of at which an upstream's
+	// process registered, or a record of software versions changed. It is set with StoreDown
+	// only.
+	NewestSoftware int64 `cbor:"19,keyasint,omitempty"`
 	// CutOff is set while the sender reaches no upstream.
 	CutOff bool `cbor:"12,keyasint,omitempty"`
 	// Leaving lists processes of upstreams that have lately said in an answer that
