gateway: no questions for proofs while the key-value service can't be reached

In an outage that all share each VM counts as a watcher, and asked each 150 ms. Each call costs, also one without an answer; with 84 VMs and 8 s that were some 4,000 calls.

--- a/internal/gateway/watchers.go
+++ b/internal/gateway/watchers.go
@@ -103,7 +103,10 @@
 	case g.copyIsProven():
 		pause = provenWatchPause
 	}
-	if proofAge == 0 && g.quotas.needsOwnProof() {
+	switch {
+	case g.storeDisconnected():
+		proofAge = 0 // the watch finds the service back
+	case proofAge == 0 && g.quotas.needsOwnProof():
 		proofAge = quotaProofAge
 	}
 	g.platform.SetWatchTiming(pause, hold)
