--- a/internal/gateway/watchers.go
+++ b/internal/gateway/watchers.go
@@ -96,10 +96,11 @@
 	case g.isWatcher():
 		pause, hold, proofAge = watcherPause, watcherHold, g.watcherProofAge()
 	case g.proofNeedsRead():
-		pause, proofAge = min(pause, hold), hold/2
 		if g.proof.NewerKnown() {
-			pause, proofAge = watcherPause, watcherPause // API keys are not accepted until the version is read
+			pause = watcherPause // API keys are not accepted until the version is read
+			break
 		}
+		pause, proofAge = min(pause, hold), hold/2
 	case g.copyIsProven():
 		pause = provenWatchPause
 	}
--- a/internal/mirror/as_of_test.go
+++ b/internal/mirror/as_of_test.go
@@ -120,7 +120,7 @@
 	})
 }
 
-// A checkpoint told others that its daemon's copy was complete up to a revision whose changes were still being applied.
+// A checkpoint stated that its daemon's copy was complete up to a revision whose changes were still being applied.
 func TestRevisionFollowsTheChanges(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		kv := fake.NewKV()
