mirror: a copy that was interrupted reads the state, not the history

Cause: the store divides a backlog into replies of about 1 MB (1.12 to 1.17 MB of values, up to four configurations). The daemon took each reply for the newest state: it decoded every configuration and waited the whole watch pause before it asked on. VMs with 10 Mbit/s needed 2.8 s a reply and had the newest version 7.4 s after the store's return. Without the pause three replies still take such a VM 4.4 s: the history itself is too long to be read.

Change: after a failure, or if the process stood still, the copy asks the service for its revision, by a call without keys and with a timeout of its own (a second, a watch takes 2.6 s to time out). If more changes were missed than there are keys, all keys are read; else the watch goes on and must reach that revision. A reply that was requested after this daemon learned of a revision and does not reach it is a part of a backlog: all keys are read too. Watchers' checkpoints tell of revisions at no cost; a daemon that hears none asks by itself. The retry pause starts anew once the watch has answered.

Ruled out: a larger bound on replies (the parts are below it), decoding or the change of tables (0.2 s of 7.4), the pause alone (see above).

--- a/internal/gateway/completeness.go
+++ b/internal/gateway/completeness.go
@@ -88,6 +88,7 @@
 // receiveCheckpoint compares a watcher's state with this daemon's.
 func (g *Gateway) receiveCheckpoint(checkpoint mesh.Checkpoint) {
 	result := "different"
+	g.checkpointAt.Store(int64(clock.Boot()))
 	g.proof.RecordVersion(checkpoint.ConfigVersion)
 	switch {
 	case checkpoint.ConfigVersion > g.configVersion():
@@ -98,6 +99,9 @@
 		result = "same"
 		g.keeper.Apply(nil, checkpoint.Revision)
 	}
+	if result != "same" {
+		g.mirror.Report(checkpoint.Revision)
+	}
 	g.options.Meters.Checkpoint(result)
 }
 
@@ -111,6 +115,13 @@
 	return proven
 }
 
+// hearsCheckpoints reports whether a checkpoint has come lately. It tells of a revision that the
+// key-value service has had, so that this daemon need not ask whether its copy lags behind.
+func (g *Gateway) hearsCheckpoints() bool {
+	age := clock.Boot() - time.Duration(g.checkpointAt.Load())
+	return age < time.Duration(proofShare*float64(g.settings.Load().MaxStaleness))
+}
+
 func (g *Gateway) configVersion() int64 {
 	if table := g.relay.Table(); table != nil {
 		return table.Version()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -113,6 +113,8 @@
 	// polls, and copyWasProven is what was last logged of that.
 	completeness  completeness
 	copyWasProven atomic.Bool
+	// checkpointAt is when the last checkpoint came, by clock.Boot.
+	checkpointAt atomic.Int64
 	// lastCheckpointAt is when this daemon last sent checkpoints. Only the goroutine of the
 	// heartbeats uses it and outage.
 	lastCheckpointAt time.Duration
@@ -251,6 +253,7 @@
 	}
 	if g.mirror, err = mirror.New(mirror.Config{
 		KV: g.platform.Store(), Apply: g.apply, ReachabilityChanged: g.setStoreReachable, Log: log,
+		CaughtUp: func(cause mirror.CatchUpCause, way string) { meters.CatchUp(string(cause), way) },
 	}); err != nil {
 		return err
 	}
--- a/internal/gateway/watchers.go
+++ b/internal/gateway/watchers.go
@@ -103,6 +103,8 @@
 		pause, proofAge = min(pause, hold), hold/2
 	case g.copyIsProven():
 		pause = provenWatchPause
+	case !g.hearsCheckpoints():
+		proofAge = pause
 	}
 	switch {
 	case g.storeDisconnected():
--- a/internal/infra/kv.go
+++ b/internal/infra/kv.go
@@ -143,7 +143,10 @@
 type WatchBatch struct {
 	Events   []WatchEvent
 	Revision int64
-	Err      error
+	// RequestedAt is when the batch was requested, by clock.Boot; 0 for a watch that sends
+	// batches without requests.
+	RequestedAt time.Duration
+	Err         error
 }
 
 // WatchEvent is one change of a key. Deletions hold the key only.
--- a/internal/metrics/gateway.go
+++ b/internal/metrics/gateway.go
@@ -32,6 +32,8 @@
 	kvCalls       *prometheus.CounterVec
 	meshBytes     *prometheus.CounterVec
 	checkpoints   *prometheus.CounterVec
+	catchUps      *prometheus.CounterVec
+	configStep    *prometheus.HistogramVec
 	entryDrops    *prometheus.CounterVec
 	passedOn      *prometheus.CounterVec
 	placeWaits    *prometheus.CounterVec
@@ -71,6 +73,8 @@
 		kvCalls:       counter("gateway_kv_calls_total", "Calls to the key-value service by kind and result.", "kind", "result"),
 		meshBytes:     counter("mesh_bytes_total", "Bytes of datagrams between daemons by direction.", "direction"),
 		checkpoints:   counter("checkpoints_total", "Watchers' checkpoints by how this daemon's copy compared.", "result"),
+		catchUps:      counter("gateway_kv_catch_ups_total", "Catch-ups of the copy of the key-value service after an interruption, by cause and way.", "cause", "way"),
+		configStep:    histogram("config_apply_seconds", "Time of the steps that put a configuration in force.", latencyBuckets, "step"),
 		entryDrops:    counter("dropped_entries_total", "Malformed or too large entries of the dissemination between daemons, by kind.", "kind"),
 		storeEra: prometheus.NewGauge(prometheus.GaugeOpts{
 			Namespace: namespace, Name: "gateway_kv_era", Help: "Era of the key-value service; it rises with each return from an older copy.",
@@ -82,7 +86,7 @@
 			Namespace: namespace, Name: "routing_version", Help: "Configuration version in force.",
 		}),
 	}
-	registerer.MustRegister(g.requests, g.duration, g.firstEvent, g.estimateRatio, g.loadWait, g.repeatedSends, g.refusals, g.skipped, g.turnsDeclined, g.takenUp, g.statements, g.engineCrashes, g.withheld, g.blockedCauses, g.passedOn, g.placeWaits, g.repeatBudget, g.cutOff, g.engineOrders, g.engineReports, g.kvCalls, g.meshBytes, g.checkpoints, g.entryDrops, g.version, g.storeEra, g.proofAge)
+	registerer.MustRegister(g.requests, g.duration, g.firstEvent, g.estimateRatio, g.loadWait, g.repeatedSends, g.refusals, g.skipped, g.turnsDeclined, g.takenUp, g.statements, g.engineCrashes, g.withheld, g.blockedCauses, g.passedOn, g.placeWaits, g.repeatBudget, g.cutOff, g.engineOrders, g.engineReports, g.kvCalls, g.meshBytes, g.checkpoints, g.catchUps, g.configStep, g.entryDrops, g.version, g.storeEra, g.proofAge)
 	return g
 }
 
@@ -212,6 +216,16 @@
 	g.checkpoints.WithLabelValues(result).Inc()
 }
 
+// CatchUp counts a catch-up of the copy of the key-value service.
+func (g *Gateway) CatchUp(cause, way string) {
+	g.catchUps.WithLabelValues(cause, way).Inc()
+}
+
+// ConfigStep records the time of a step that puts a configuration in force.
+func (g *Gateway) ConfigStep(step string, took time.Duration) {
+	g.configStep.WithLabelValues(step).Observe(took.Seconds())
+}
+
 // EntryDropped counts a malformed or too large entry of the dissemination.
 func (g *Gateway) EntryDropped(kind uint32) {
 	g.entryDrops.WithLabelValues(strconv.FormatUint(uint64(kind), 10)).Inc()
--- a/internal/mirror/as_of_test.go
+++ b/internal/mirror/as_of_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"log/slog"
 	"sync/atomic"
@@ -81,10 +82,16 @@
 		now := func() time.Duration { return time.Since(origin) + time.Second }
 		kv := fake.NewKV()
 		put(t, kv, "p/a", "0")
+		// With more keys than missed changes, the backlog is read by the watch.
+		for n := range 10 {
+			put(t, kv, fmt.Sprintf("p/other-%d", n), "x")
+		}
 		var value atomic.Value
 		m, err := New(Config{KV: kv, Prefix: "p/", Log: slog.New(slog.DiscardHandler), Now: now, Apply: func(changes []Change, _ int64) {
 			for _, change := range changes {
-				value.Store(string(change.Entry.Value))
+				if change.Entry.Key == "p/a" {
+					value.Store(string(change.Entry.Value))
+				}
 			}
 		}})
 		if err != nil {
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -22,18 +22,8 @@
 	// maxRetryPause bounds the doubled pause, so that a daemon is up to date well
 	// within 2 s of the service's recovery.
 	maxRetryPause = 400 * time.Millisecond
-	// probeTimeout bounds the probe that precedes the first read. The service
-	// answers within a few milliseconds, and after an outage it does not answer
-	// calls from before its recovery. After probeTries the timeout doubles up to
-	// maxProbeTimeout, for a service that all daemons of a large fleet call at once.
-	probeTimeout    = 500 * time.Millisecond
-	probeTries      = 4
-	maxProbeTimeout = 8 * time.Second
 )
 
-// probePrefix is a prefix that no key has.
-const probePrefix = "probe-of-no-key/"
-
 // Change is one key that was written or deleted. A deleted key has no value.
 type Change struct {
 	Entry   infra.Entry
@@ -52,6 +42,9 @@
 	// ReachabilityChanged is called when the service becomes reachable or
 	// unreachable; it may be nil.
 	ReachabilityChanged func(bool)
+	// CaughtUp is called when the copy catches up after an interruption, by way of a read
+	// of all keys or of the watch; it may be nil.
+	CaughtUp func(cause CatchUpCause, way string)
 	// Now reads a clock that counts suspended time; nil for clock.Boot.
 	Now func() time.Duration
 }
@@ -63,7 +56,14 @@
 	// delivered holds the last delivered change of each key. Only Run uses it.
 	delivered map[string]deliveredKey
 	// injected passes changes from Inject to Run.
-	injected          chan []Change
+	injected chan []Change
+	// stoodStill tells Run for how long the process was suspended.
+	stoodStill chan time.Duration
+	// state is what the copy needs, and cause is why. failures counts failed calls since the
+	// last reply to the watch. Only Run uses them.
+	state             copyState
+	cause             CatchUpCause
+	failures          int
 	revision          atomic.Int64
 	proofs            proofs
 	reachable         bool
@@ -88,7 +88,8 @@
 	if config.Now == nil {
 		config.Now = clock.Boot
 	}
-	return &Mirror{config: config, log: config.Log.With("part", "store"), delivered: make(map[string]deliveredKey), injected: make(chan []Change, injectedCapacity)}, nil
+	return &Mirror{config: config, log: config.Log.With("part", "store"), delivered: make(map[string]deliveredKey), injected: make(chan []Change, injectedCapacity),
+		stoodStill: make(chan time.Duration, 1), cause: CauseStart}, nil
 }
 
 // Revision returns the revision up to which the copy is complete; 0 before
@@ -113,41 +114,20 @@
 	var proving sync.WaitGroup
 	defer proving.Wait()
 	proving.Go(func() { m.runProofs(ctx) })
-	failures := 0
-	read := false
 	for ctx.Err() == nil {
-		var err error
-		if !read {
-			err = m.probeAndRead(ctx, failures)
-			read = err == nil
-		}
+		err := m.catchUp(ctx)
 		if err == nil {
 			err = m.watch(ctx)
 		}
-		if err == nil {
-			failures = 0
+		if err == nil || ctx.Err() != nil {
 			continue
 		}
-		if ctx.Err() != nil {
-			return
-		}
-		var failure *infra.Error
-		if errors.As(err, &failure) && failure.Kind == infra.Compacted {
-			m.log.Info("history was compacted, reading all keys again", "revision", m.Revision())
-			read = false
-			continue
-		}
-		if errors.As(err, &failure) && failure.Kind == infra.EraChanged {
-			m.log.Warn("key-value service has come back from an older copy, reading all keys again", "era", int64(infra.EraOf(m.Revision())))
-			read = false
-			if !m.pause(ctx, minRetryPause) {
-				return
-			}
-			continue
+		pause, isFailure := m.interrupt(err)
+		if isFailure {
+			pause = min(minRetryPause<<min(m.failures, 8), maxRetryPause)
+			m.failures++
+			m.setReachable(false, err)
 		}
-		failures++
-		m.setReachable(false, err)
-		pause := min(minRetryPause<<min(failures-1, 8), maxRetryPause)
 		if !m.pause(ctx, pause) {
 			return
 		}
@@ -189,28 +169,6 @@
 	}
 }
 
-// probeAndRead reads all keys. Until the first read has succeeded, a cheap probe
-// precedes it, with a timeout that grows with the failures. The probe detects
-// soon whether the service answers, so the read itself needs no timeout: an
-// aborted read of all keys would waste the work of a large fleet's service.
-func (m *Mirror) probeAndRead(ctx context.Context, failures int) error {
-	if m.Revision() == 0 {
-		doublings := min(max(failures-probeTries+1, 0), 8)
-		if _, err := m.probe(ctx, min(probeTimeout<<doublings, maxProbeTimeout)); err != nil {
-			return err
-		}
-	}
-	return m.read(ctx)
-}
-
-// probe reads a range without keys from the service, and returns the service's revision.
-func (m *Mirror) probe(ctx context.Context, timeout time.Duration) (revision int64, err error) {
-	ctx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
-	result, err := m.config.KV.Range(ctx, m.config.Prefix+probePrefix)
-	return result.Revision, err
-}
-
 // read reads all keys at once and delivers the differences from the copy.
 func (m *Mirror) read(ctx context.Context) error {
 	requestedAt := m.config.Now()
@@ -218,12 +176,14 @@
 	if err != nil {
 		return err
 	}
+	repliedAt := m.config.Now()
 	present := make(map[string]bool, len(result.Entries))
 	var changes []Change
-	reverted := 0
+	reverted, bytes := 0, 0
 	for _, entry := range result.Entries {
 		present[entry.Key] = true
 		changes = append(changes, Change{Entry: entry})
+		bytes += len(entry.Value)
 		if infra.NumberOf(entry.ModRevision) < infra.NumberOf(m.delivered[entry.Key].revision) {
 			reverted++
 		}
@@ -239,13 +199,18 @@
 		m.log.Warn("state of the key-value service's new era read", "former_era", int64(from), "era", int64(to),
 			"revision", infra.NumberOf(result.Revision), "former_revision", infra.NumberOf(m.Revision()), "keys", len(result.Entries), "reverted", reverted, "missing", missing)
 	}
-	m.deliver(m.filterNew(changes), result.Revision)
+	changes = m.filterNew(changes)
+	m.deliver(changes, result.Revision)
+	m.observeCatchUp("read")
+	m.log.Info("all keys read", "cause", string(m.cause), "revision", result.Revision, "keys", len(result.Entries), "value_bytes", bytes, "changes", len(changes),
+		"read_ms", (repliedAt - requestedAt).Milliseconds(), "apply_ms", (m.config.Now() - repliedAt).Milliseconds())
 	// Every page was requested after this, so no change from before it is missing.
 	m.proofs.complete(requestedAt)
 	return nil
 }
 
-// watch follows the keys from the copy's revision on until the watch breaks.
+// watch follows the keys from the copy's revision on until the watch breaks or the copy has to
+// catch up in another way.
 func (m *Mirror) watch(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -262,7 +227,17 @@
 			if batch.Err != nil {
 				return batch.Err
 			}
+			m.failures = 0
+			repliedAt := m.config.Now()
 			m.deliver(m.filterNew(changesOf(batch)), batch.Revision)
+			if m.proofs.isPart(batch.RequestedAt, m.Revision()) {
+				m.log.Info("reply to the watch held only a part of the changes, reading all keys", "changes", len(batch.Events), "revision", m.Revision(),
+					"reply_ms", (repliedAt - batch.RequestedAt).Milliseconds(), "apply_ms", (m.config.Now() - repliedAt).Milliseconds())
+				return errPart
+			}
+		case d := <-m.stoodStill:
+			m.log.Info("process stood still, asking the key-value service what was missed", "for_ms", d.Milliseconds(), "revision", m.Revision())
+			return errStoodStill
 		case changes := <-m.injected:
 			m.config.Apply(m.filterNew(changes), m.Revision())
 			if hasLaterEra(changes, m.Revision()) {
--- a/internal/mirror/proof.go
+++ b/internal/mirror/proof.go
@@ -11,10 +11,18 @@
 // proofCheckInterval is the time between two checks whether AsOf is older than is allowed.
 const proofCheckInterval = 50 * time.Millisecond
 
-// head is a revision that the service had when it was asked.
+// head is a revision that the service has had.
 type head struct {
 	revision int64
-	askedAt  time.Duration
+	// askedAt is when the service was asked; 0 if another daemon has told of the revision.
+	askedAt time.Duration
+	// knownAt is when this daemon learned of it: a later request has to reach the revision.
+	knownAt time.Duration
+}
+
+// isBeyond reports whether the reply to a request leaves the copy short of the head.
+func (h *head) isBeyond(requestedAt time.Duration, copied int64) bool {
+	return h != nil && requestedAt >= h.knownAt && copied < h.revision
 }
 
 // proofs decides when the copy is known to be complete. It is safe for concurrent use. Times are
@@ -33,6 +41,9 @@
 	askedAt time.Duration
 	// pending is the answer that the copy has not reached, if any.
 	pending *head
+	// reported is the same for a revision that another daemon has told of. It proves nothing
+	// about the time at which the copy reaches it.
+	reported *head
 }
 
 // isDue reports whether the service is to be asked, and counts as a question if so. There is one
@@ -68,6 +79,27 @@
 		p.asOf = max(p.asOf, p.pending.askedAt)
 		p.pending = nil
 	}
+	if p.reported != nil && copied >= p.reported.revision {
+		p.reported = nil
+	}
+}
+
+// report records a revision that another daemon has told of, given the one up to which the copy
+// is complete. One is kept at a time: a newer one would be reached later.
+func (p *proofs) report(h head, copied int64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.reported == nil && h.revision > copied {
+		p.reported = &h
+	}
+}
+
+// isPart reports whether the reply to a request, which has made the copy complete up to a
+// revision, was only a part of what the service had.
+func (p *proofs) isPart(requestedAt time.Duration, copied int64) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.pending.isBeyond(requestedAt, copied) || p.reported.isBeyond(requestedAt, copied)
 }
 
 // complete records that all keys were read, from askedAt on. It replaces any answer, which may be
@@ -76,7 +108,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.asOf = max(p.asOf, askedAt)
-	p.pending = nil
+	p.pending, p.reported = nil, nil
 }
 
 // AsOf returns a reading of Config.Now: the copy reflects all changes made up to
@@ -95,10 +127,18 @@
 	m.proofs.maxAge = age
 }
 
-// runProofs asks the service for its revision whenever that is due, until ctx ends.
+// runProofs asks the service for its revision whenever that is due, until ctx ends. It also
+// notices that the process stood still.
 func (m *Mirror) runProofs(ctx context.Context) {
-	for clock.Sleep(ctx, proofCheckInterval) {
+	for {
+		before := m.config.Now()
+		if !clock.Sleep(ctx, proofCheckInterval) {
+			return
+		}
 		now := m.config.Now()
+		if now-before > proofCheckInterval+minStandstill {
+			m.noteStandstill(now - before)
+		}
 		if m.Revision() == 0 || !m.proofs.isDue(now) {
 			continue
 		}
@@ -107,6 +147,6 @@
 			m.log.Debug("revision of the key-value service not read", "error", err)
 			continue
 		}
-		m.proofs.answer(head{revision, now}, m.Revision())
+		m.proofs.answer(head{revision: revision, askedAt: now, knownAt: m.config.Now()}, m.Revision())
 	}
 }
