fleet: what is absent before and after a gap is not known to have been absent throughout

Cause: a read of all keys tells of the difference to a later state only. A member that was absent before, registered again and lost its key once more in between is absent in both, and its absence counted from the first time: its engines were claimed at once instead of settleDelay after the loss, and got an order of the new owner 2.96 s after one of the former one, 3 s wanted.

The fault is older: a read after a compaction took the same path.

Change: the copy announces a gap before it delivers such a read, and the table counts absences, releases of engines and missing records from then on.

TestAbsenceBeforeAGapDoesNotCount failed before ('claimed: true, 0s after the gap, want at least 700ms'), and TestEngineWithoutRecordAroundAGapGetsOrdersAfterTheQuietTime ('may order within the quiet time: true').

--- a/internal/fleet/keeper.go
+++ b/internal/fleet/keeper.go
@@ -125,6 +125,14 @@
 	}
 }
 
+// NoteGap records that the changes of the next call of Apply do not tell of all that happened since
+// the last one.
+func (k *Keeper) NoteGap() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.table.NoteGap(k.config.Now())
+}
+
 // beginEra gives up the lease, the member key and all rights of the former era,
 // which the key-value service may have lost or given to others. They are acquired
 // anew. The caller holds mu.
--- a/internal/fleet/keeper_test.go
+++ b/internal/fleet/keeper_test.go
@@ -232,7 +232,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		m, err := mirror.New(mirror.Config{KV: f, Apply: k.Apply, Log: k.log})
+		m, err := mirror.New(mirror.Config{KV: f, Apply: k.Apply, Gap: k.NoteGap, Log: k.log})
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/internal/fleet/outage_test.go
+++ b/internal/fleet/outage_test.go
@@ -162,7 +162,7 @@
 		}); err != nil {
 			t.Fatal(err)
 		}
-		follower, err := mirror.New(mirror.Config{KV: m.kv, Apply: m.keeper.Apply, Log: m.keeper.log})
+		follower, err := mirror.New(mirror.Config{KV: m.kv, Apply: m.keeper.Apply, Gap: m.keeper.NoteGap, Log: m.keeper.log})
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/internal/fleet/table.go
+++ b/internal/fleet/table.go
@@ -142,6 +142,24 @@
 	t.revision = max(t.revision, revision)
 }
 
+// NoteGap records that the next changes are the difference to a later state, and not all that
+// happened since the last ones: what is absent in both states may have been there in between, and
+// what releases its engines in both may have ordered. Both count as new.
+func (t *Table) NoteGap(now time.Duration) {
+	for name := range t.absentSince {
+		t.absentSince[name] = now
+	}
+	for name, m := range t.members {
+		m.releasingSince = now
+		t.members[name] = m
+	}
+	for _, e := range t.engines {
+		if e.revision == 0 {
+			e.changedAt, e.deletedAt = now, now
+		}
+	}
+}
+
 // Revision returns the revision up to which the table is complete.
 func (t *Table) Revision() int64 {
 	return t.revision
--- a/internal/fleet/table_test.go
+++ b/internal/fleet/table_test.go
@@ -165,6 +165,37 @@
 	}
 }
 
+// An owner registered again and lost its key once more while this daemon missed all changes. The absence that
+// it knew from before counted on, so it claimed the owner's engines at once and ordered too early.
+func TestAbsenceBeforeAGapDoesNotCount(t *testing.T) {
+	const lostAt, gapAt = 10 * time.Second, 30 * time.Second
+	f := newTableFeed("vm-a", 1)
+	f.putMember(0, Member{Name: "vm-a", Incarnation: 1})
+	f.putMember(lostAt, Member{Name: "vm-b", Incarnation: 1})
+	f.put(lostAt, "engines/e", record{Member: "vm-b", Incarnation: 1})
+	f.table.SetEngines(lostAt, []string{"e"})
+	f.deleteKey(lostAt, "members/vm-b")
+	f.table.NoteGap(gapAt)
+	at, claimed := f.firstClaimAt(gapAt, gapAt+20*time.Second, noneOrdering)
+	if !claimed || at < gapAt+settleDelay {
+		t.Errorf("claimed: %t, %v after the gap, want at least %v", claimed, at-gapAt, settleDelay)
+	}
+}
+
+// The record of an engine was written and deleted within a gap: its owner may have ordered just before.
+func TestEngineWithoutRecordAroundAGapGetsOrdersAfterTheQuietTime(t *testing.T) {
+	const gapAt = 30 * time.Second
+	f := newTableFeed("vm-a", 1)
+	f.putMember(0, Member{Name: "vm-a", Incarnation: 1})
+	f.table.SetEngines(0, []string{"e"})
+	f.table.NoteGap(gapAt)
+	at, claimed := f.firstClaimAt(gapAt, gapAt+20*time.Second, noneOrdering)
+	f.acceptClaims(at, noneOrdering)
+	if _, ok := f.table.MayOrder(at+testTiming.QuietTime-time.Millisecond, "e"); !claimed || ok {
+		t.Errorf("claimed: %t, may order within the quiet time: %t", claimed, ok)
+	}
+}
+
 // TestClaimRequiresAbsenceOfFormerOwner guards against a delayed claim that takes
 // effect after the former owner has registered again.
 func TestClaimRequiresAbsenceOfFormerOwner(t *testing.T) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -252,7 +252,7 @@
 		return err
 	}
 	if g.mirror, err = mirror.New(mirror.Config{
-		KV: g.platform.Store(), Apply: g.apply, ReachabilityChanged: g.setStoreReachable, Log: log,
+		KV: g.platform.Store(), Apply: g.apply, Gap: g.keeper.NoteGap, ReachabilityChanged: g.setStoreReachable, Log: log,
 		CaughtUp: func(cause mirror.CatchUpCause, way string) { meters.CatchUp(string(cause), way) },
 	}); err != nil {
 		return err
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -38,7 +38,10 @@
 	// Apply receives changes in the order of their revisions, from one
 	// goroutine. Revision is the one up to which the copy is complete.
 	Apply func(changes []Change, revision int64)
-	Log   *slog.Logger
+	// Gap is called before Apply receives a read of all keys other than the first: what
+	// changed and changed back since the last delivery is not among its changes. It may be nil.
+	Gap func()
+	Log *slog.Logger
 	// ReachabilityChanged is called when the service becomes reachable or
 	// unreachable; it may be nil.
 	ReachabilityChanged func(bool)
@@ -200,6 +203,9 @@
 			"revision", infra.NumberOf(result.Revision), "former_revision", infra.NumberOf(m.Revision()), "keys", len(result.Entries), "reverted", reverted, "missing", missing)
 	}
 	changes = m.filterNew(changes)
+	if m.Revision() != 0 && m.config.Gap != nil {
+		m.config.Gap()
+	}
 	m.deliver(changes, result.Revision)
 	m.observeCatchUp("read")
 	m.log.Info("all keys read", "cause", string(m.cause), "revision", result.Revision, "keys", len(result.Entries), "value_bytes", bytes, "changes", len(changes),
