--- a/cmd/barleylift-soak/main.go
+++ b/cmd/barleylift-soak/main.go
@@ -42,7 +42,7 @@
 	flaggy.UInt64(&options.Seed, "", "seed", "Seed of the fault sequence.")
 	flaggy.Duration(&options.Duration, "", "for", "How long to inject faults.")
 	flaggy.Int(&options.Daemons, "", "processes", "Number of daemon processes.")
-	flaggy.String(&options.Scenario, "", "scenario", "One kind of trouble in place of random faults: crashing-part, crashing-request, cut-off, endless, former-owner, fragile, pausing, planned-stop, release, repeats, upgrade or versions.")
+	flaggy.String(&options.Scenario, "", "scenario", "One kind of trouble in place of random faults: backlog, crashing-part, crashing-request, cut-off, endless, former-owner, fragile, pausing, planned-stop, release, repeats, upgrade or versions.")
 	flaggy.String(&options.Binary, "", "binary", "The program under test.")
 	flaggy.String(&options.FormerBinary, "", "former-binary", "A build of an earlier commit, which some VMs run; the scenario upgrade begins with it.")
 	flaggy.Parse()
