gateway: a configuration that a later one of the same delivery replaces is not decoded

Change: the copy marks changes that a later one of the same delivery supersedes; a configuration that is one is left out. If the last one is invalid, the newest valid one takes its place.

--- a/internal/gateway/apply.go
+++ b/internal/gateway/apply.go
@@ -29,11 +29,13 @@
 		g.storeRegainedAt.Store(int64(clock.Boot()))
 	}
 	var forwarded []forwardedChange
+	var superseded []mirror.Change
 	for _, change := range changes {
 		g.applyQuarantineKey(change)
 		g.applySuspectKey(change)
 		g.applySoftwareKey(change)
-		update, err := g.platform.Decode(change)
+		decodingAt := clock.Boot()
+		update, err := g.decode(change, superseded)
 		if u := g.urgencyOf(change, update, err); u > routine {
 			forwarded = append(forwarded, forwardedChange{change, u})
 		}
@@ -41,8 +43,11 @@
 			g.log.Warn("invalid value in the key-value service", "key", change.Entry.Key, "revision", change.Entry.ModRevision, "error", err)
 		}
 		switch {
+		case update.ConfigSuperseded:
+			superseded = append(superseded, change)
 		case update.Config != nil:
-			g.applyConfig(*update.Config)
+			g.options.Meters.ConfigStep("decode", clock.Boot()-decodingAt)
+			g.applyConfig(*update.Config, len(superseded), clock.Boot()-decodingAt)
 		case update.Upstream != nil:
 			g.noteProcess(change.Entry, *update.Upstream)
 			g.applyUpstream(*update.Upstream)
@@ -66,7 +71,29 @@
 	}
 }
 
-func (g *Gateway) applyConfig(config routing.Config) {
+// decode decodes a change. In place of an invalid configuration it returns, beside the error, the newest
+// valid one of those that it has superseded.
+func (g *Gateway) decode(change mirror.Change, superseded []mirror.Change) (Update, error) {
+	update, err := g.platform.Decode(change)
+	if err == nil {
+		return update, nil
+	}
+	for _, earlier := range slices.Backward(superseded) {
+		if earlier.Entry.Key != change.Entry.Key {
+			continue
+		}
+		earlier.Superseded = false
+		if valid, earlierErr := g.platform.Decode(earlier); earlierErr == nil {
+			return valid, err
+		}
+	}
+	return update, err
+}
+
+// applyConfig puts a configuration in force. It is logged with the number of older ones that came
+// with it and were left out, and with the time that its decoding took.
+func (g *Gateway) applyConfig(config routing.Config, superseded int, decoding time.Duration) {
+	began := clock.Boot()
 	table, err := routing.NewTable(config)
 	if err != nil {
 		g.log.Error("configuration rejected, any current one stays in force", "version", config.Version, "error", err)
@@ -78,8 +105,11 @@
 	}
 	g.proof.SetVersion(config.Version)
 	g.options.Meters.Version(config.Version)
+	putting := clock.Boot() - began
+	g.options.Meters.ConfigStep("put in force", putting)
 	g.log.Info("configuration in force", "version", config.Version, "routes", len(config.Routes), "services", len(config.Services),
-		"requires_keys", config.RequiresKeys, "customers", len(config.Customers))
+		"requires_keys", config.RequiresKeys, "customers", len(config.Customers),
+		"superseded", superseded, "decode_ms", decoding.Milliseconds(), "apply_ms", putting.Milliseconds())
 	g.signalReassign()
 }
 
--- a/internal/gateway/platform.go
+++ b/internal/gateway/platform.go
@@ -61,6 +61,9 @@
 	Config *routing.Config
 	// ConfigUnchanged is set for a configuration that is the last decoded one.
 	ConfigUnchanged bool
+	// ConfigSuperseded is set for a configuration that has not been decoded, as a later one
+	// follows in the same delivery.
+	ConfigSuperseded bool
 	// Upstream is a registration of an engine or replica.
 	Upstream *topology.Upstream
 	// RemovedUpstream identifies an upstream without a valid registration.
--- a/internal/gateway/watchers.go
+++ b/internal/gateway/watchers.go
@@ -155,7 +155,7 @@
 		return urgent
 	}
 	switch {
-	case decodeErr != nil || update.Config != nil || update.ConfigUnchanged:
+	case decodeErr != nil || update.Config != nil || update.ConfigUnchanged || update.ConfigSuperseded:
 		// A configuration is never forwarded: it holds API keys.
 		return routine
 	case update.Version != nil:
--- a/internal/mirror/catch_up_test.go
+++ b/internal/mirror/catch_up_test.go
@@ -254,3 +254,22 @@
 		}
 	})
 }
+
+// Each version of a value that a daemon had missed was decoded, one after the other, on VMs with a small
+// share of a core too.
+func TestEarlierChangesOfADeliveryAreMarked(t *testing.T) {
+	m, err := New(Config{KV: fake.NewKV(), Apply: func([]Change, int64) {}, Log: slog.New(slog.DiscardHandler)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	change := func(key string, revision int64) Change {
+		return Change{Entry: infra.Entry{Key: key, ModRevision: revision}}
+	}
+	got := m.filterNew([]Change{change("a", 1), change("b", 2), change("a", 3), change("a", 3), change("a", 4)})
+	want := []bool{true, false, true, false}
+	for i, c := range got {
+		if len(got) != len(want) || c.Superseded != want[i] {
+			t.Fatalf("got %+v, want superseded %v", got, want)
+		}
+	}
+}
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -28,6 +28,8 @@
 type Change struct {
 	Entry   infra.Entry
 	Deleted bool
+	// Superseded is set if a later change of the same delivery is to the same key.
+	Superseded bool
 }
 
 // Config holds the dependencies of a Mirror.
@@ -276,6 +278,7 @@
 // injected changes.
 func (m *Mirror) filterNew(changes []Change) []Change {
 	var newChanges []Change
+	last := make(map[string]int, len(changes))
 	for _, change := range changes {
 		entry := change.Entry
 		isOld := entry.ModRevision <= m.delivered[entry.Key].revision || infra.EraOf(entry.ModRevision) < infra.EraOf(m.Revision())
@@ -283,6 +286,10 @@
 			continue
 		}
 		m.delivered[entry.Key] = deliveredKey{revision: entry.ModRevision, deleted: change.Deleted}
+		if earlier, ok := last[entry.Key]; ok {
+			newChanges[earlier].Superseded = true
+		}
+		last[entry.Key] = len(newChanges)
 		newChanges = append(newChanges, change)
 	}
 	return newChanges
