gateway: registrations that a part of a backlog lacks are not gone

Cause: after an outage, registrations that had expired are renewed within 2 s, and their removal waits 2.2 s from the daemon's return. Nothing asked whether the daemon had read on since: the deletions may come in the first part of a backlog and the renewals in later ones, or in the next reply after the pause.

Change: a part of a backlog isn't applied, as a read of all keys replaces it; it is if that read fails. A removal that waits for the grace holds once the copy is known to be complete as of the end of the grace, by a watcher's checkpoint, or else by asking (Mirror.Refresh, two calls).

--- a/internal/gateway/apply.go
+++ b/internal/gateway/apply.go
@@ -14,11 +14,6 @@
 	"github.com/barleylift/barleylift/internal/topology"
 )
 
-// registrationGrace is how long after the recovery of the key-value service a
-// missing registration may still be renewed: those that expired during the
-// outage are renewed within about 2 s.
-const registrationGrace = 2200 * time.Millisecond
-
 // apply applies changes of the key-value service and forwards those that are not
 // routine.
 func (g *Gateway) apply(changes []mirror.Change, revision int64) {
@@ -127,7 +122,7 @@
 		upstream.Leaving = true
 	}
 	upstream = g.applyStatement(upstream)
-	delete(g.removalDue, upstream.ID)
+	delete(g.removals, upstream.ID)
 	g.upstreams[upstream.ID] = upstream
 	if ok && upstream.Incarnation != current.Incarnation {
 		delete(g.modelLoadNotBefore, processKey{current.ID, current.Incarnation})
@@ -144,55 +139,6 @@
 	g.signalReassign()
 }
 
-// applyRemoval schedules the removal of an upstream without a valid
-// registration. Shortly after an outage of the service the removal waits, as the
-// upstream may still register again.
-func (g *Gateway) applyRemoval(id string) {
-	now := clock.Boot()
-	due := max(time.Duration(g.storeRegainedAt.Load())+registrationGrace, now)
-	if g.storeDisconnected() {
-		// Another daemon has forwarded the removal as the service came back.
-		due = now + registrationGrace
-	}
-	g.mu.Lock()
-	_, registered := g.upstreams[id]
-	if registered {
-		g.removalDue[id] = due
-	}
-	g.mu.Unlock()
-	if registered {
-		g.log.Info("upstream has no valid registration, removal scheduled", "upstream", id, "counts_as_gone_in_ms", (due - now).Milliseconds())
-		g.removeExpired()
-		if due > now {
-			time.AfterFunc(due-now, g.removeExpired)
-		}
-	}
-}
-
-// removeExpired removes upstreams whose removal is due.
-func (g *Gateway) removeExpired() {
-	now := clock.Boot()
-	g.mu.Lock()
-	var expired []string
-	for id, due := range g.removalDue {
-		if now >= due {
-			expired = append(expired, id)
-			delete(g.removalDue, id)
-			delete(g.modelLoadNotBefore, processKey{id, g.upstreams[id].Incarnation})
-			delete(g.upstreams, id)
-		}
-	}
-	g.mu.Unlock()
-	for _, id := range expired {
-		g.locator.RemoveUpstream(id)
-		g.pools.remove(id)
-		g.log.Info("upstream removed", "upstream", id)
-	}
-	if len(expired) > 0 {
-		g.signalReassign()
-	}
-}
-
 // setStoreReachable records whether the key-value service is reachable.
 func (g *Gateway) setStoreReachable(reachable bool) {
 	if reachable && g.storeDown.Load() {
--- a/internal/gateway/completeness.go
+++ b/internal/gateway/completeness.go
@@ -33,8 +33,10 @@
 // completeness decides whether a daemon's copy is known to be complete. It is
 // safe for concurrent use.
 type completeness struct {
-	mu          sync.Mutex // guards provenUntil
+	mu          sync.Mutex // guards the fields below
 	provenUntil time.Duration
+	// readAt is the latest time at which a watcher had read a state like this daemon's.
+	readAt time.Duration
 }
 
 // observe records a checkpoint that has arrived at now, given the digest of this
@@ -49,7 +51,7 @@
 	until := readAt + time.Duration(proofShare*float64(maxStaleness))
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.provenUntil = max(c.provenUntil, until)
+	c.provenUntil, c.readAt = max(c.provenUntil, until), max(c.readAt, readAt)
 	return now < until
 }
 
@@ -60,6 +62,13 @@
 	c.provenUntil = 0
 }
 
+// asOf returns the time as of which the copy was proven complete; 0 if it never was.
+func (c *completeness) asOf() time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.readAt
+}
+
 func (c *completeness) isProven(now time.Duration) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -137,7 +146,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for id, u := range g.upstreams {
-		if _, isUnregistered := g.removalDue[id]; !isUnregistered {
+		if _, isUnregistered := g.removals[id]; !isUnregistered {
 			u.Leaving = g.registeredLeaving(u)
 			sum += upstreamDigest(u)
 		}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -126,8 +126,8 @@
 	mu sync.Mutex
 	// upstreams holds the current registrations.
 	upstreams map[string]topology.Upstream
-	// removalDue maps upstreams without a registration to when they are removed.
-	removalDue map[string]time.Duration
+	// removals holds the upstreams without a registration that are still used.
+	removals map[string]removal
 	// modelLoadNotBefore maps engines' processes to the earliest time to order a
 	// load of their base model.
 	modelLoadNotBefore map[processKey]time.Duration
@@ -172,7 +172,7 @@
 		incarnation:        1 + rand.Int64N(maxIncarnation),
 		budgets:            newBudgets(s.Budget, time.Unix(0, int64(clock.Boot()))),
 		upstreams:          make(map[string]topology.Upstream),
-		removalDue:         make(map[string]time.Duration),
+		removals:           make(map[string]removal),
 		modelLoadNotBefore: make(map[processKey]time.Duration),
 		statedLeaving:      make(map[processKey]*leavingStatement),
 		reassign:           make(chan struct{}, 1),
@@ -328,6 +328,7 @@
 			g.pools.sweep(now)
 			g.reach.sweep(now)
 			g.removeExpired()
+			g.proveRemovals()
 			g.expireStatements()
 			g.logEndedPauses()
 			g.storeQuarantine(ctx)
--- a/internal/mirror/catch_up.go
+++ b/internal/mirror/catch_up.go
@@ -44,6 +44,7 @@
 var (
 	errPart       = errors.New("a reply held only a part of the changes")
 	errStoodStill = errors.New("the process stood still")
+	errRefresh    = errors.New("a proof that the copy is complete is needed")
 )
 
 // CatchUpCause is why the copy had to catch up otherwise than by its watch.
@@ -55,6 +56,7 @@
 	CauseOutage     CatchUpCause = "outage"
 	CauseStandstill CatchUpCause = "standstill"
 	CausePart       CatchUpCause = "part of a backlog"
+	CauseRefresh    CatchUpCause = "refresh"
 	CauseCompaction CatchUpCause = "compaction"
 	CauseEra        CatchUpCause = "era"
 )
@@ -66,17 +68,23 @@
 	errors.As(err, &failure)
 	switch {
 	case errors.Is(err, errPart):
+		m.log.Info("reply to the watch holds only a part of the changes, reading all keys", "revision", m.Revision(), "changes", len(m.held.Events),
+			"up_to", m.held.Revision, "reply_ms", (m.config.Now() - m.held.RequestedAt).Milliseconds())
 		m.state, m.cause = unread, CausePart
 	case errors.Is(err, errStoodStill):
+		m.log.Info("process stood still, asking the key-value service what was missed", "revision", m.Revision())
 		m.state, m.cause = interrupted, CauseStandstill
+	case errors.Is(err, errRefresh):
+		m.state, m.cause = interrupted, CauseRefresh
 	case failure != nil && failure.Kind == infra.Compacted:
 		m.log.Info("history was compacted, reading all keys again", "revision", m.Revision())
 		m.state, m.cause = unread, CauseCompaction
 	case failure != nil && failure.Kind == infra.EraChanged:
 		m.log.Warn("key-value service has come back from an older copy, reading all keys again", "era", int64(infra.EraOf(m.Revision())))
-		m.state, m.cause = unread, CauseEra
+		m.state, m.cause, m.held = unread, CauseEra, nil
 		pause = minRetryPause
 	default:
+		m.deliverHeld()
 		if m.state == following {
 			m.state, m.cause = interrupted, CauseOutage
 		}
@@ -96,11 +104,19 @@
 		if err := m.read(ctx); err != nil {
 			return err
 		}
-		m.state = following
+		m.state, m.held = following, nil
 	}
 	return nil
 }
 
+// deliverHeld delivers the part of a backlog that the failed read was to replace.
+func (m *Mirror) deliverHeld() {
+	if batch := m.held; batch != nil {
+		m.held = nil
+		m.deliver(m.filterNew(changesOf(*batch)), batch.Revision)
+	}
+}
+
 // rejoin asks the service for its revision and decides whether an interrupted copy reads all keys
 // or only the changes that it has missed. The state is bounded, and the history is not: it may hold
 // many versions of a large value, and the service divides it.
@@ -145,10 +161,16 @@
 	return result.Revision, err
 }
 
-// noteStandstill ends the watch after the process stood still.
-func (m *Mirror) noteStandstill(d time.Duration) {
+// Refresh asks the service for its revision and polls the watch at once, so that AsOf soon tells of
+// now or later. It costs two calls.
+func (m *Mirror) Refresh() {
+	m.interruptWatch(errRefresh)
+}
+
+// interruptWatch ends the watch; only one cause counts at a time.
+func (m *Mirror) interruptWatch(cause error) {
 	select {
-	case m.stoodStill <- d:
+	case m.interruptions <- cause:
 	default:
 	}
 }
--- a/internal/mirror/catch_up_test.go
+++ b/internal/mirror/catch_up_test.go
@@ -25,10 +25,15 @@
 	pause atomic.Int64
 	// silentUntil is a reading of now up to which calls get no answer.
 	silentUntil atomic.Int64
+	// failRanges makes Range fail.
+	failRanges atomic.Bool
 }
 
 // Range implements infra.KV.
 func (k *dividedKV) Range(ctx context.Context, prefix string) (infra.RangeResult, error) {
+	if k.failRanges.Load() {
+		return infra.RangeResult{}, &infra.Error{Op: "range", Kind: infra.Unavailable, Err: context.DeadlineExceeded}
+	}
 	if err := k.awaitAnswer(ctx); err != nil {
 		return infra.RangeResult{}, err
 	}
@@ -83,8 +88,16 @@
 	value  atomic.Int64
 	// standstill is added to the clock of the mirror.
 	standstill atomic.Int64
-	mu         sync.Mutex // guards caughtUp
+	mu         sync.Mutex // guards caughtUp and deleted
 	caughtUp   map[CatchUpCause]int
+	deleted    map[string]int
+}
+
+// deletions returns how often the deletion of a key was delivered.
+func (f *followedKey) deletions(key string) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.deleted[key]
 }
 
 // catchUps returns the number of catch-ups for a cause.
@@ -98,7 +111,7 @@
 func follow(t *testing.T, otherKeys int) *followedKey {
 	t.Helper()
 	origin := time.Now()
-	f := &followedKey{caughtUp: make(map[CatchUpCause]int)}
+	f := &followedKey{caughtUp: make(map[CatchUpCause]int), deleted: make(map[string]int)}
 	now := func() time.Duration { return time.Since(origin) + time.Duration(f.standstill.Load()) + time.Second }
 	f.kv = &dividedKV{KV: fake.NewKV(), now: now}
 	f.kv.part.Store(1)
@@ -113,7 +126,12 @@
 			f.caughtUp[cause]++
 		},
 		Apply: func(changes []Change, _ int64) {
+			f.mu.Lock()
+			defer f.mu.Unlock()
 			for _, change := range changes {
+				if change.Deleted {
+					f.deleted[change.Entry.Key]++
+				}
 				if change.Entry.Key == "p/config" {
 					version, _ := strconv.ParseInt(string(change.Entry.Value), 10, 64)
 					f.value.Store(version)
@@ -220,6 +238,51 @@
 	}
 }
 
+// A key that is deleted and written again within a backlog was taken for gone as long as only the first
+// part had come. If the state can't be read, the part is all there is.
+func TestPartOfABacklogIsNotAppliedUnlessTheReadFails(t *testing.T) {
+	for _, readFails := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			f := follow(t, 30)
+			const pause = 100 * time.Millisecond
+			f.kv.pause.Store(int64(pause))
+			if _, err := f.kv.Txn(t.Context(), infra.Txn{Then: []infra.Op{infra.Delete("p/other-0")}}); err != nil {
+				t.Fatal(err)
+			}
+			time.Sleep(pause / 2)
+			if _, err := f.kv.Txn(t.Context(), infra.Txn{Then: []infra.Op{infra.Delete("p/other-1")}}); err != nil {
+				t.Fatal(err)
+			}
+			newest := put(t, f.kv.KV, "p/other-1", "again")
+			f.mirror.Report(newest)
+			f.kv.failRanges.Store(readFails)
+			time.Sleep(5 * time.Second)
+			synctest.Wait()
+			if got := f.deletions("p/other-1"); (got > 0) != readFails || f.deletions("p/other-0") != 1 {
+				t.Errorf("the read fails: %t, %d deletions delivered", readFails, got)
+			}
+		})
+	}
+}
+
+// Refresh must prove that the copy is complete, while replies come with pauses too.
+func TestRefreshProvesTheCopyComplete(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := follow(t, 30)
+		f.kv.pause.Store(int64(time.Minute))
+		f.set(t, 1)
+		time.Sleep(time.Second)
+		f.set(t, 2)
+		wantedAt := f.kv.now()
+		f.mirror.Refresh()
+		time.Sleep(time.Second)
+		synctest.Wait()
+		if asOf := f.mirror.AsOf(); asOf < wantedAt || f.value.Load() != 2 {
+			t.Errorf("the copy is complete as of %v with version %d, want %v and 2", asOf, f.value.Load(), wantedAt)
+		}
+	})
+}
+
 // What daemons tell each other all the time must cost no call to the service while the copy keeps up.
 func TestReportsCauseNoReadsWhileTheCopyKeepsUp(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -62,8 +62,10 @@
 	delivered map[string]deliveredKey
 	// injected passes changes from Inject to Run.
 	injected chan []Change
-	// stoodStill tells Run for how long the process was suspended.
-	stoodStill chan time.Duration
+	// interruptions end the watch.
+	interruptions chan error
+	// held is a part of a backlog that is delivered only if the read of all keys fails.
+	held *infra.WatchBatch
 	// state is what the copy needs, and cause is why. failures counts failed calls since the
 	// last reply to the watch. Only Run uses them.
 	state             copyState
@@ -94,7 +96,7 @@
 		config.Now = clock.Boot
 	}
 	return &Mirror{config: config, log: config.Log.With("part", "store"), delivered: make(map[string]deliveredKey), injected: make(chan []Change, injectedCapacity),
-		stoodStill: make(chan time.Duration, 1), cause: CauseStart}, nil
+		interruptions: make(chan error, 1), cause: CauseStart}, nil
 }
 
 // Revision returns the revision up to which the copy is complete; 0 before
@@ -236,16 +238,13 @@
 				return batch.Err
 			}
 			m.failures = 0
-			repliedAt := m.config.Now()
-			m.deliver(m.filterNew(changesOf(batch)), batch.Revision)
-			if m.proofs.isPart(batch.RequestedAt, m.Revision()) {
-				m.log.Info("reply to the watch held only a part of the changes, reading all keys", "changes", len(batch.Events), "revision", m.Revision(),
-					"reply_ms", (repliedAt - batch.RequestedAt).Milliseconds(), "apply_ms", (m.config.Now() - repliedAt).Milliseconds())
+			if m.proofs.isPart(batch.RequestedAt, batch.Revision) {
+				m.held = &batch
 				return errPart
 			}
-		case d := <-m.stoodStill:
-			m.log.Info("process stood still, asking the key-value service what was missed", "for_ms", d.Milliseconds(), "revision", m.Revision())
-			return errStoodStill
+			m.deliver(m.filterNew(changesOf(batch)), batch.Revision)
+		case err := <-m.interruptions:
+			return err
 		case changes := <-m.injected:
 			m.config.Apply(m.filterNew(changes), m.Revision())
 			if hasLaterEra(changes, m.Revision()) {
--- a/internal/mirror/proof.go
+++ b/internal/mirror/proof.go
@@ -137,7 +137,7 @@
 		}
 		now := m.config.Now()
 		if now-before > proofCheckInterval+minStandstill {
-			m.noteStandstill(now - before)
+			m.interruptWatch(errStoodStill)
 		}
 		if m.Revision() == 0 || !m.proofs.isDue(now) {
 			continue
