--- a/internal/infra/kv.go
+++ b/internal/infra/kv.go
@@ -175,6 +175,9 @@
 	// revisions of the call were given out. The call had no effect. The caller
 	// reads again what it knows.
 	EraChanged
+	// TooLarge means that a reply exceeds what this daemon takes. The call had no effect.
+	// What a watch would have told is read by Range, whose pages are bounded.
+	TooLarge
 )
 
 // String returns the name of the kind.
@@ -190,6 +193,8 @@
 		return "compacted"
 	case EraChanged:
 		return "era changed"
+	case TooLarge:
+		return "too large"
 	default:
 		return "refused"
 	}
--- a/internal/mirror/catch_up.go
+++ b/internal/mirror/catch_up.go
@@ -56,6 +56,7 @@
 	CauseOutage     CatchUpCause = "outage"
 	CauseStandstill CatchUpCause = "standstill"
 	CausePart       CatchUpCause = "part of a backlog"
+	CauseTooLarge   CatchUpCause = "reply too large"
 	CauseRefresh    CatchUpCause = "refresh"
 	CauseCompaction CatchUpCause = "compaction"
 	CauseEra        CatchUpCause = "era"
@@ -79,6 +80,9 @@
 	case failure != nil && failure.Kind == infra.Compacted:
 		m.log.Info("history was compacted, reading all keys again", "revision", m.Revision())
 		m.state, m.cause = unread, CauseCompaction
+	case failure != nil && failure.Kind == infra.TooLarge && m.state == following:
+		m.log.Warn("reply to the watch is too large, reading all keys", "revision", m.Revision(), "error", err)
+		m.state, m.cause = unread, CauseTooLarge
 	case failure != nil && failure.Kind == infra.EraChanged:
 		m.log.Warn("key-value service has come back from an older copy, reading all keys again", "era", int64(infra.EraOf(m.Revision())))
 		m.state, m.cause, m.held = unread, CauseEra, nil
--- a/internal/mirror/catch_up_test.go
+++ b/internal/mirror/catch_up_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"log/slog"
 	"strconv"
 	"sync"
@@ -27,6 +28,8 @@
 	silentUntil atomic.Int64
 	// failRanges makes Range fail.
 	failRanges atomic.Bool
+	// tooLarge makes the next reply to a watch exceed the bound on replies.
+	tooLarge atomic.Bool
 }
 
 // Range implements infra.KV.
@@ -70,6 +73,9 @@
 				return
 			}
 			reply.RequestedAt = requestedAt
+			if reply.Err == nil && k.tooLarge.Swap(false) {
+				reply = infra.WatchBatch{Err: &infra.Error{Op: "watch", Kind: infra.TooLarge, Err: io.ErrShortBuffer}}
+			}
 			select {
 			case out <- reply:
 			case <-ctx.Done():
@@ -283,6 +289,21 @@
 	})
 }
 
+// A backlog of fewer changes than keys whose values exceed what one reply may have.
+func TestTooLargeReplyCausesARead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := follow(t, 30)
+		f.kv.tooLarge.Store(true)
+		f.kv.BreakWatches()
+		f.set(t, 1)
+		time.Sleep(applyBound)
+		synctest.Wait()
+		if f.value.Load() != 1 || f.catchUps(CauseTooLarge) == 0 {
+			t.Errorf("version %d is in force after %d reads", f.value.Load(), f.catchUps(CauseTooLarge))
+		}
+	})
+}
+
 // What daemons tell each other all the time must cost no call to the service while the copy keeps up.
 func TestReportsCauseNoReadsWhileTheCopyKeepsUp(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
