mirror: a cut watch is no outage of the key-value service

The store may cut a watch that waits while it answers all else.

Change: after the end of a watch the service is asked for its revision before it counts as unreachable. A watch that got no answer in time still counts as an outage: registrations may have expired meanwhile. If the watch is cut again before it answers, all keys are read. The retry pause grows only until the watch answers.

--- a/internal/infra/kv.go
+++ b/internal/infra/kv.go
@@ -161,7 +161,8 @@
 
 // The kinds of failures.
 const (
-	// Unavailable means that the call certainly had no effect.
+	// Unavailable means that the call certainly had no effect. Its cause is
+	// context.DeadlineExceeded if the reply did not come in time.
 	Unavailable ErrorKind = iota
 	// Ambiguous means that the call may have taken effect.
 	Ambiguous
--- a/internal/mirror/catch_up.go
+++ b/internal/mirror/catch_up.go
@@ -54,6 +54,7 @@
 const (
 	CauseStart      CatchUpCause = "start"
 	CauseOutage     CatchUpCause = "outage"
+	CauseCut        CatchUpCause = "cut"
 	CauseStandstill CatchUpCause = "standstill"
 	CausePart       CatchUpCause = "part of a backlog"
 	CauseTooLarge   CatchUpCause = "reply too large"
@@ -63,8 +64,7 @@
 )
 
 // interrupt records the end of a watch or a catch-up, and returns the pause before the next try.
-// A failure has none: it is repeated after a growing pause.
-func (m *Mirror) interrupt(err error) (pause time.Duration, isFailure bool) {
+func (m *Mirror) interrupt(err error) (pause time.Duration) {
 	var failure *infra.Error
 	errors.As(err, &failure)
 	switch {
@@ -87,14 +87,26 @@
 		m.log.Warn("key-value service has come back from an older copy, reading all keys again", "era", int64(infra.EraOf(m.Revision())))
 		m.state, m.cause, m.held = unread, CauseEra, nil
 		pause = minRetryPause
+	case m.state == following && !errors.Is(err, context.DeadlineExceeded):
+		// The service may cut a watch that waits: whether it is away, the probe shows.
+		m.state, m.cause = interrupted, CauseCut
+		m.failures++
+		pause = retryPause(m.failures)
 	default:
 		m.deliverHeld()
-		if m.state == following {
+		if m.state != unread {
 			m.state, m.cause = interrupted, CauseOutage
 		}
-		return 0, true
+		m.failures++
+		m.setReachable(false, err)
+		pause = retryPause(m.failures)
 	}
-	return pause, false
+	return pause
+}
+
+// retryPause returns the pause after a number of failures in a row.
+func retryPause(failures int) time.Duration {
+	return min(minRetryPause<<min(failures-1, 8), maxRetryPause)
 }
 
 // catchUp prepares the copy for the watch.
@@ -142,6 +154,8 @@
 	switch {
 	case infra.EraOf(newest) != infra.EraOf(m.Revision()) || missed >= int64(len(m.delivered)):
 		m.state = unread
+	case missed > 0 && m.cause == CauseCut && m.failures > 1:
+		m.state = unread // the watch was cut again before it answered
 	case missed <= 0:
 		m.state = following
 		m.deliver(nil, m.Revision())
--- a/internal/mirror/catch_up_test.go
+++ b/internal/mirror/catch_up_test.go
@@ -92,6 +92,8 @@
 	kv     *dividedKV
 	mirror *Mirror
 	value  atomic.Int64
+	// outages counts how often the service became unreachable.
+	outages atomic.Int64
 	// standstill is added to the clock of the mirror.
 	standstill atomic.Int64
 	mu         sync.Mutex // guards caughtUp and deleted
@@ -126,6 +128,11 @@
 		put(t, f.kv.KV, fmt.Sprintf("p/other-%d", n), "x")
 	}
 	m, err := New(Config{KV: f.kv, Prefix: "p/", Log: slog.New(slog.DiscardHandler), Now: now,
+		ReachabilityChanged: func(reachable bool) {
+			if !reachable {
+				f.outages.Add(1)
+			}
+		},
 		CaughtUp: func(cause CatchUpCause, _ string) {
 			f.mu.Lock()
 			defer f.mu.Unlock()
@@ -289,6 +296,31 @@
 	})
 }
 
+// A watch that waits may be cut while the service answers all other calls. That counted as an outage, after
+// which missing registrations stay in use for a while.
+func TestCutWatchesAreNoOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := follow(t, 30)
+		for range 8 {
+			f.kv.BreakWatches()
+			time.Sleep(30 * time.Millisecond)
+		}
+		cutAt := f.kv.now()
+		f.set(t, 1)
+		for f.value.Load() != 1 {
+			time.Sleep(10 * time.Millisecond)
+		}
+		if took := f.kv.now() - cutAt; f.outages.Load() != 0 || took > 2*maxRetryPause {
+			t.Errorf("%d outages, the next change was known after %v", f.outages.Load(), took)
+		}
+		f.kv.SetDown(true)
+		time.Sleep(time.Second)
+		if f.outages.Load() != 1 {
+			t.Errorf("%d outages while the service was down, want 1", f.outages.Load())
+		}
+	})
+}
+
 // A backlog of fewer changes than keys whose values exceed what one reply may have.
 func TestTooLargeReplyCausesARead(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -129,13 +129,7 @@
 		if err == nil || ctx.Err() != nil {
 			continue
 		}
-		pause, isFailure := m.interrupt(err)
-		if isFailure {
-			pause = min(minRetryPause<<min(m.failures, 8), maxRetryPause)
-			m.failures++
-			m.setReachable(false, err)
-		}
-		if !m.pause(ctx, pause) {
+		if !m.pause(ctx, m.interrupt(err)) {
 			return
 		}
 	}
