--- a/internal/mesh/landing_test.go
+++ b/internal/mesh/landing_test.go
@@ -14,9 +14,9 @@
 )
 
 // landingMessages holds one datagram of each kind, with all fields set, as the daemons of
-// the last landing (d3c759c) send them. -update writes it with the current code: only when
+// the last landing (d4467a8) send them. -update writes it with the current code: only when
 // a landing's daemons are no longer in use anywhere.
-const landingMessages = "testdata/landing-d3c759c.hex"
+const landingMessages = "testdata/landing-d4467a8.hex"
 
 var update = flag.Bool("update", false, "write the messages of the last landing anew")
 
