gateway: a removal that waits for a proof takes effect as soon as there is one

Cause: since such a removal waited for a checkpoint first, and was then looked at every 0.5 s.

Change: at the end of the grace the copy is refreshed at once, at most every 0.5 s, and the copy says when its proof has advanced (Proven). TestRefreshProvesTheCopyComplete wants the proof within 100 ms and that it is said; before, nothing said it.

--- a/internal/gateway/completeness.go
+++ b/internal/gateway/completeness.go
@@ -107,6 +107,7 @@
 	case g.completeness.observe(clock.Boot(), checkpoint, g.digest(), g.settings.Load().MaxStaleness):
 		result = "same"
 		g.keeper.Apply(nil, checkpoint.Revision)
+		g.removeExpired()
 	}
 	if result != "same" {
 		g.mirror.Report(checkpoint.Revision)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -128,6 +128,8 @@
 	upstreams map[string]topology.Upstream
 	// removals holds the upstreams without a registration that are still used.
 	removals map[string]removal
+	// refreshedAt is when the copy was last refreshed for removals.
+	refreshedAt time.Duration
 	// modelLoadNotBefore maps engines' processes to the earliest time to order a
 	// load of their base model.
 	modelLoadNotBefore map[processKey]time.Duration
@@ -252,7 +254,7 @@
 		return err
 	}
 	if g.mirror, err = mirror.New(mirror.Config{
-		KV: g.platform.Store(), Apply: g.apply, Gap: g.keeper.NoteGap, ReachabilityChanged: g.setStoreReachable, Log: log,
+		KV: g.platform.Store(), Apply: g.apply, Gap: g.keeper.NoteGap, ReachabilityChanged: g.setStoreReachable, Proven: g.removeExpired, Log: log,
 		CaughtUp: func(cause mirror.CatchUpCause, way string) { meters.CatchUp(string(cause), way) },
 	}); err != nil {
 		return err
@@ -327,7 +329,6 @@
 		case now := <-ticker.C:
 			g.pools.sweep(now)
 			g.reach.sweep(now)
-			g.removeExpired()
 			g.proveRemovals()
 			g.expireStatements()
 			g.logEndedPauses()
--- a/internal/gateway/removals.go
+++ b/internal/gateway/removals.go
@@ -36,9 +36,9 @@
 	return now >= r.due && (!r.needsProof || asOf >= r.due)
 }
 
-// lacksProof reports whether the removal has waited longer than patience for a proof only.
-func (r removal) lacksProof(now, asOf, patience time.Duration) bool {
-	return now >= r.due+patience && !r.isOver(now, asOf)
+// lacksProof reports whether the removal waits for a proof only.
+func (r removal) lacksProof(now, asOf time.Duration) bool {
+	return now >= r.due && !r.isOver(now, asOf)
 }
 
 // applyRemoval schedules the removal of an upstream without a valid registration.
@@ -57,7 +57,7 @@
 	g.log.Info("upstream has no valid registration, removal scheduled", "upstream", id, "counts_as_gone_in_ms", (r.due - now).Milliseconds(), "needs_proof", r.needsProof)
 	g.removeExpired()
 	if r.needsProof {
-		time.AfterFunc(r.due-now, g.removeExpired)
+		time.AfterFunc(r.due-now, g.proveRemovals)
 	}
 }
 
@@ -91,9 +91,13 @@
 	}
 }
 
-// proveRemovals asks the key-value service for a proof if removals wait for one that no checkpoint
-// has brought.
+// minRefreshInterval is the least time between two refreshes for removals: many become due at once.
+const minRefreshInterval = sweepInterval
+
+// proveRemovals removes upstreams whose removal is over, and asks the key-value service for a proof if
+// others lack it.
 func (g *Gateway) proveRemovals() {
+	g.removeExpired()
 	if g.storeDisconnected() {
 		return
 	}
@@ -101,12 +105,16 @@
 	waiting := 0
 	g.mu.Lock()
 	for _, r := range g.removals {
-		if r.lacksProof(now, asOf, g.checkpointInterval()) {
+		if r.lacksProof(now, asOf) {
 			waiting++
 		}
 	}
+	isDue := waiting > 0 && now-g.refreshedAt >= minRefreshInterval
+	if isDue {
+		g.refreshedAt = now
+	}
 	g.mu.Unlock()
-	if waiting > 0 {
+	if isDue {
 		g.log.Info("removals wait until the copy of the key-value service is known to be complete, refreshing it", "upstreams", waiting, "complete_as_of_ms_ago", (now - asOf).Milliseconds())
 		g.mirror.Refresh()
 	}
--- a/internal/mirror/catch_up.go
+++ b/internal/mirror/catch_up.go
@@ -166,7 +166,7 @@
 		"missed_changes", missed, "keys", len(m.delivered), "reads_all_keys", m.state == unread, "answer_ms", (m.config.Now() - askedAt).Milliseconds())
 	if m.state == following {
 		m.observeCatchUp("watch")
-		m.proofs.answer(head{revision: newest, askedAt: askedAt, knownAt: m.config.Now()}, m.Revision())
+		m.notify(m.proofs.answer(head{revision: newest, askedAt: askedAt, knownAt: m.config.Now()}, m.Revision()))
 	}
 	return nil
 }
--- a/internal/mirror/catch_up_test.go
+++ b/internal/mirror/catch_up_test.go
@@ -94,6 +94,8 @@
 	value  atomic.Int64
 	// outages counts how often the service became unreachable.
 	outages atomic.Int64
+	// provenAt is when AsOf last advanced.
+	provenAt atomic.Int64
 	// standstill is added to the clock of the mirror.
 	standstill atomic.Int64
 	mu         sync.Mutex // guards caughtUp and deleted
@@ -128,6 +130,7 @@
 		put(t, f.kv.KV, fmt.Sprintf("p/other-%d", n), "x")
 	}
 	m, err := New(Config{KV: f.kv, Prefix: "p/", Log: slog.New(slog.DiscardHandler), Now: now,
+		Proven: func() { f.provenAt.Store(int64(now())) },
 		ReachabilityChanged: func(reachable bool) {
 			if !reachable {
 				f.outages.Add(1)
@@ -287,11 +290,12 @@
 		time.Sleep(time.Second)
 		f.set(t, 2)
 		wantedAt := f.kv.now()
+		f.provenAt.Store(0)
 		f.mirror.Refresh()
-		time.Sleep(time.Second)
+		time.Sleep(100 * time.Millisecond)
 		synctest.Wait()
-		if asOf := f.mirror.AsOf(); asOf < wantedAt || f.value.Load() != 2 {
-			t.Errorf("the copy is complete as of %v with version %d, want %v and 2", asOf, f.value.Load(), wantedAt)
+		if asOf := f.mirror.AsOf(); asOf < wantedAt || f.value.Load() != 2 || f.provenAt.Load() < int64(wantedAt) {
+			t.Errorf("the copy is complete as of %v with version %d, want %v and 2, said at %v", asOf, f.value.Load(), wantedAt, time.Duration(f.provenAt.Load()))
 		}
 	})
 }
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -47,6 +47,8 @@
 	// ReachabilityChanged is called when the service becomes reachable or
 	// unreachable; it may be nil.
 	ReachabilityChanged func(bool)
+	// Proven is called when AsOf has advanced; it may be nil.
+	Proven func()
 	// CaughtUp is called when the copy catches up after an interruption, by way of a read
 	// of all keys or of the watch; it may be nil.
 	CaughtUp func(cause CatchUpCause, way string)
@@ -210,6 +212,7 @@
 		"read_ms", (repliedAt - requestedAt).Milliseconds(), "apply_ms", (m.config.Now() - repliedAt).Milliseconds())
 	// Every page was requested after this, so no change from before it is missing.
 	m.proofs.complete(requestedAt)
+	m.notify(true)
 	return nil
 }
 
@@ -299,5 +302,5 @@
 	m.config.Apply(changes, revision)
 	// Others may rely on what Revision and AsOf tell of only when the changes are in force.
 	m.revision.Store(revision)
-	m.proofs.reach(revision)
+	m.notify(m.proofs.reach(revision))
 }
--- a/internal/mirror/proof.go
+++ b/internal/mirror/proof.go
@@ -58,30 +58,33 @@
 	return true
 }
 
-// answer records the service's answer, given the revision up to which the copy is complete.
-func (p *proofs) answer(h head, copied int64) {
+// answer records the service's answer, given the revision up to which the copy is complete, and
+// reports whether asOf has advanced.
+func (p *proofs) answer(h head, copied int64) (advanced bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.pending = &h
-	p.settle(copied)
+	return p.settle(copied)
 }
 
-// reach records that the copy is complete up to a revision.
-func (p *proofs) reach(copied int64) {
+// reach records that the copy is complete up to a revision, and reports whether asOf has advanced.
+func (p *proofs) reach(copied int64) (advanced bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.settle(copied)
+	return p.settle(copied)
 }
 
 // settle is reach for a caller that holds mu.
-func (p *proofs) settle(copied int64) {
+func (p *proofs) settle(copied int64) (advanced bool) {
 	if p.pending != nil && copied >= p.pending.revision {
+		advanced = p.pending.askedAt > p.asOf
 		p.asOf = max(p.asOf, p.pending.askedAt)
 		p.pending = nil
 	}
 	if p.reported != nil && copied >= p.reported.revision {
 		p.reported = nil
 	}
+	return advanced
 }
 
 // report records a revision that another daemon has told of, given the one up to which the copy
@@ -119,6 +122,13 @@
 	return m.proofs.asOf
 }
 
+// notify calls Proven if AsOf has advanced.
+func (m *Mirror) notify(advanced bool) {
+	if advanced && m.config.Proven != nil {
+		m.config.Proven()
+	}
+}
+
 // SetProofAge sets the age of AsOf from which on the service is asked for its revision, one call
 // each; 0 for never. AsOf then tells of reads of all keys only.
 func (m *Mirror) SetProofAge(age time.Duration) {
@@ -147,6 +157,6 @@
 			m.log.Debug("revision of the key-value service not read", "error", err)
 			continue
 		}
-		m.proofs.answer(head{revision: revision, askedAt: now, knownAt: m.config.Now()}, m.Revision())
+		m.notify(m.proofs.answer(head{revision: revision, askedAt: now, knownAt: m.config.Now()}, m.Revision()))
 	}
 }
