--- a/internal/fleet/keeper.go
+++ b/internal/fleet/keeper.go
@@ -125,8 +125,8 @@
 	}
 }
 
-// NoteGap records that the changes of the next call of Apply do not tell of all that happened since
-// the last one.
+// NoteGap records that the changes of the next call of Apply are the difference to a later state, and
+// not all that happened since the last one.
 func (k *Keeper) NoteGap() {
 	k.mu.Lock()
 	defer k.mu.Unlock()
--- a/internal/gateway/completeness.go
+++ b/internal/gateway/completeness.go
@@ -125,7 +125,7 @@
 	return proven
 }
 
-// hearsCheckpoints reports whether a checkpoint has come lately. It tells of a revision that the
+// hearsCheckpoints reports whether a checkpoint has come lately. It names a revision that the
 // key-value service has had, so that this daemon need not ask whether its copy lags behind.
 func (g *Gateway) hearsCheckpoints() bool {
 	age := clock.Boot() - time.Duration(g.checkpointAt.Load())
--- a/internal/infra/kv.go
+++ b/internal/infra/kv.go
@@ -177,7 +177,7 @@
 	// reads again what it knows.
 	EraChanged
 	// TooLarge means that a reply exceeds what this daemon takes. The call had no effect.
-	// What a watch would have told is read by Range, whose pages are bounded.
+	// The caller reads the keys by Range instead, whose pages are bounded.
 	TooLarge
 )
 
--- a/internal/mirror/catch_up.go
+++ b/internal/mirror/catch_up.go
@@ -179,8 +179,8 @@
 	return result.Revision, err
 }
 
-// Refresh asks the service for its revision and polls the watch at once, so that AsOf soon tells of
-// now or later. It costs two calls.
+// Refresh asks the service for its revision and polls the watch at once, so that AsOf soon
+// reaches the present. It costs two calls.
 func (m *Mirror) Refresh() {
 	m.interruptWatch(errRefresh)
 }
@@ -193,8 +193,8 @@
 	}
 }
 
-// Report records that the service had a revision, as another daemon has told. A reply to the watch
-// that was requested later and leaves the copy behind it is a part of a backlog: all keys are read then.
+// Report records a revision of the service that another daemon has reported. A reply to the watch that
+// was requested later and does not reach it is a part of a backlog: all keys are read then.
 func (m *Mirror) Report(revision int64) {
 	if copied := m.Revision(); infra.EraOf(revision) == infra.EraOf(copied) {
 		m.proofs.report(head{revision: revision, knownAt: m.config.Now()}, copied)
--- a/internal/mirror/catch_up_test.go
+++ b/internal/mirror/catch_up_test.go
@@ -340,7 +340,7 @@
 	})
 }
 
-// What daemons tell each other all the time must cost no call to the service while the copy keeps up.
+// Daemons report revisions all the time, which must cost no call to the service while the copy keeps up.
 func TestReportsCauseNoReadsWhileTheCopyKeepsUp(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := follow(t, 3)
--- a/internal/mirror/proof.go
+++ b/internal/mirror/proof.go
@@ -14,7 +14,7 @@
 // head is a revision that the service has had.
 type head struct {
 	revision int64
-	// askedAt is when the service was asked; 0 if another daemon has told of the revision.
+	// askedAt is when the service was asked; 0 if another daemon has reported the revision.
 	askedAt time.Duration
 	// knownAt is when this daemon learned of it: a later request has to reach the revision.
 	knownAt time.Duration
@@ -41,7 +41,7 @@
 	askedAt time.Duration
 	// pending is the answer that the copy has not reached, if any.
 	pending *head
-	// reported is the same for a revision that another daemon has told of. It proves nothing
+	// reported is the same for a revision that another daemon has reported. It proves nothing
 	// about the time at which the copy reaches it.
 	reported *head
 }
@@ -87,7 +87,7 @@
 	return advanced
 }
 
-// report records a revision that another daemon has told of, given the one up to which the copy
+// report records a revision that another daemon has reported, given the one up to which the copy
 // is complete. One is kept at a time: a newer one would be reached later.
 func (p *proofs) report(h head, copied int64) {
 	p.mu.Lock()
